Add the workspace, the design and the contracts between packages

Cause: the repository was empty. Several people work side by side from here on, so the interfaces have to exist before the packages behind them.

Considered: one module for everything. Ruled out because stand-in servers and the load tool must not ship with the daemon.

--- /dev/null
+++ b/eventlog/events.go
@@ -0,0 +1,52 @@
+package eventlog
+
+import "github.com/sirupsen/logrus"
+
+// Numbers are stable: an event that is no longer logged leaves its number
+// unused. 10xx daemon, 11xx configuration, 12xx peers and members, 13xx
+// requests, 14xx targets, 15xx moves, 16xx platform.
+const (
+	DaemonStarted       Event = 1001
+	DaemonStopping      Event = 1002
+	DaemonStopped       Event = 1003
+	DutyFailed          Event = 1004
+	ConfigInForce       Event = 1101
+	ConfigPublished     Event = 1102
+	ConfigReadFailed    Event = 1103
+	SessionUp           Event = 1201
+	SessionDown         Event = 1202
+	MemberChanged       Event = 1203
+	RequestFailed       Event = 1301
+	RequestQuarantined  Event = 1302
+	TargetDown          Event = 1401
+	TargetUp            Event = 1402
+	MoveChanged         Event = 1501
+	MoveCut             Event = 1502
+	PlatformUnavailable Event = 1601
+)
+
+// description is the catalogued text and level of an event.
+type description struct {
+	level logrus.Level
+	text  string
+}
+
+var catalogue = map[Event]description{
+	DaemonStarted:       {logrus.InfoLevel, "daemon started"},
+	DaemonStopping:      {logrus.InfoLevel, "daemon stops: readiness is off, requests in flight finish"},
+	DaemonStopped:       {logrus.InfoLevel, "daemon stopped"},
+	DutyFailed:          {logrus.ErrorLevel, "a duty ended with an error"},
+	ConfigInForce:       {logrus.InfoLevel, "configuration generation is in force"},
+	ConfigPublished:     {logrus.InfoLevel, "configuration generation was published"},
+	ConfigReadFailed:    {logrus.WarnLevel, "configuration could not be read"},
+	SessionUp:           {logrus.InfoLevel, "session with a peer is up"},
+	SessionDown:         {logrus.WarnLevel, "session with a peer ended"},
+	MemberChanged:       {logrus.InfoLevel, "member changed its state"},
+	RequestFailed:       {logrus.WarnLevel, "request failed after it was accepted"},
+	RequestQuarantined:  {logrus.WarnLevel, "request fingerprint is quarantined"},
+	TargetDown:          {logrus.WarnLevel, "target does not answer its probe"},
+	TargetUp:            {logrus.InfoLevel, "target answers its probe"},
+	MoveChanged:         {logrus.InfoLevel, "move changed its phase or share"},
+	MoveCut:             {logrus.WarnLevel, "version was cut to zero share"},
+	PlatformUnavailable: {logrus.WarnLevel, "platform service does not answer"},
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,121 @@
+// Package settings reads the static settings of a daemon: its name, place,
+// addresses, keys and bounds. They come from one YAML file and do not change
+// while the daemon runs. Objects that operators publish at run time are defined
+// in package object.
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/marjoramflow/marjoramflow/fault"
+)
+
+// Settings are the static settings of one daemon.
+type Settings struct {
+	// Name is unique among all daemons and stable for the life of the VM.
+	Name       string `yaml:"name"`
+	DataCentre string `yaml:"dataCentre"`
+	Region     string `yaml:"region"`
+
+	Listen   Listen   `yaml:"listen"`
+	Platform Platform `yaml:"platform"`
+	// Seeds are peer addresses to try while the VM list cannot be read.
+	Seeds  []string `yaml:"seeds"`
+	TLS    TLS      `yaml:"tls"`
+	Tokens Tokens   `yaml:"tokens"`
+	Limits Limits   `yaml:"limits"`
+	Log    Log      `yaml:"log"`
+}
+
+// Listen holds the addresses (IP:port) that the daemon listens on.
+type Listen struct {
+	Callers string `yaml:"callers"`
+	Admin   string `yaml:"admin"`
+	Peers   string `yaml:"peers"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	Table   string `yaml:"table"`
+	Objects string `yaml:"objects"`
+	Weights string `yaml:"weights"`
+	VMs     string `yaml:"vms"`
+}
+
+// TLS holds the files that authenticate daemons to one another. All three are
+// set or none. They are read again when they change.
+type TLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
+}
+
+// Tokens are bearer tokens, by operator name and by client account name. They
+// never appear in logs or dumps.
+type Tokens struct {
+	Operators map[string]string `yaml:"operators"`
+	Callers   map[string]string `yaml:"callers"`
+}
+
+// Limits bound what one caller connection or one stop may take.
+type Limits struct {
+	// BodyBytes bounds a request body; headers are bounded by HeaderBytes.
+	BodyBytes   int64 `yaml:"bodyBytes"`
+	HeaderBytes int   `yaml:"headerBytes"`
+	// HeaderTimeout bounds the time to read a request's headers.
+	HeaderTimeout time.Duration `yaml:"headerTimeout"`
+	// IdleTimeout closes idle caller connections.
+	IdleTimeout time.Duration `yaml:"idleTimeout"`
+	// Shutdown bounds a graceful stop.
+	Shutdown time.Duration `yaml:"shutdown"`
+	// OpenRequests bounds the requests held at once; more are refused.
+	OpenRequests int `yaml:"openRequests"`
+}
+
+// Log sets the format and the level of the log.
+type Log struct {
+	Level  string `yaml:"level"`
+	Format string `yaml:"format"`
+}
+
+// Default bounds. They suit small VMs: 4,096 open requests with 64 KiB bodies
+// stay below 300 MB.
+const (
+	defaultBodyBytes     = 4 << 20
+	defaultHeaderBytes   = 32 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+	defaultShutdown      = 60 * time.Second
+	defaultOpenRequests  = 4096
+)
+
+// Default returns settings with every bound at its default.
+func Default() *Settings {
+	return &Settings{
+		Limits: Limits{
+			BodyBytes:     defaultBodyBytes,
+			HeaderBytes:   defaultHeaderBytes,
+			HeaderTimeout: defaultHeaderTimeout,
+			IdleTimeout:   defaultIdleTimeout,
+			Shutdown:      defaultShutdown,
+			OpenRequests:  defaultOpenRequests,
+		},
+		Log: Log{Level: "info", Format: "json"},
+	}
+}
+
+// Load reads settings from a file and fills in defaults. Unknown keys are errors.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, "settings.read", path)
+	}
+	s := Default()
+	if err := yaml.UnmarshalWithOptions(data, s, yaml.Strict()); err != nil {
+		return nil, fault.Wrap(err, "settings.parse", path)
+	}
+	return s, nil
+}
