Add target groups with a queue, preemption and predictions

Cause: entries need an owner that grants targets in strict tier order.

Considered: one queue per target. Ruled out because tier order would not hold across the targets of a group. A scan of the queue for each decision was ruled out because its cost grows with the queue.

--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,231 @@
+package admission
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// lengthFactor is the number of seconds by which one second of predicted work
+// moves a request back among the requests of its account. A larger factor is
+// closer to shortest-first, a smaller one closer to first come, first served.
+const lengthFactor = 4
+
+// Class is the set of targets that can run a request, one bit per target.
+// Exclusive requests run only where no other exclusive request runs.
+type Class struct {
+	Targets   uint64
+	Exclusive bool
+}
+
+// Withheld are targets that wait for a request of a tier to fit.
+type Withheld struct {
+	Targets uint64
+	Tier    int
+}
+
+// Item is one waiting request. The exported fields are set by the caller before
+// Add and must not change while the item waits, except through Reclassify.
+type Item[V any] struct {
+	Value   V
+	Account string
+	Tier    int
+	Class   Class
+	// Work is the predicted time in a slot of the reference target.
+	Work    time.Duration
+	Arrived time.Time
+	// Timer is the time at which Due returns the item.
+	Timer time.Time
+	// Paid is set for work that was charged to its account before and came back.
+	Paid bool
+
+	lane       *lane[V]
+	laneIndex  int
+	timerIndex int
+	older      *Item[V]
+	newer      *Item[V]
+}
+
+// Waiting reports whether the item is in a queue.
+func (i *Item[V]) Waiting() bool {
+	return i.lane != nil
+}
+
+// key orders the requests of one account.
+func (i *Item[V]) key() int64 {
+	return i.Arrived.UnixNano() + lengthFactor*int64(i.Work)
+}
+
+// Queue holds waiting requests. The zero value is not usable; call New.
+type Queue[V any] struct {
+	tiers  []*tier[V]
+	timers indexedHeap[*Item[V]]
+}
+
+// New returns an empty queue.
+func New[V any]() *Queue[V] {
+	return &Queue[V]{timers: indexedHeap[*Item[V]]{
+		less:  func(a, b *Item[V]) bool { return a.Timer.Before(b.Timer) },
+		index: func(item *Item[V]) *int { return &item.timerIndex },
+	}}
+}
+
+// Add puts an item into the queue. The item must not be waiting already.
+func (q *Queue[V]) Add(item *Item[V]) {
+	for len(q.tiers) <= item.Tier {
+		q.tiers = append(q.tiers, newTier[V]())
+	}
+	q.tiers[item.Tier].add(item)
+	q.timers.push(item)
+}
+
+// Remove takes an item out without charging its account, for cancels and
+// refusals.
+func (q *Queue[V]) Remove(item *Item[V]) {
+	q.tiers[item.Tier].remove(item)
+	q.timers.remove(item)
+}
+
+// Take takes an item out for dispatch and charges its work to its account.
+func (q *Queue[V]) Take(item *Item[V]) {
+	t := q.tiers[item.Tier]
+	flow := item.lane.flow
+	t.virtual = max(t.virtual, flow.start)
+	if !item.Paid {
+		flow.start += item.Work.Seconds()
+		t.moved(flow)
+	}
+	q.Remove(item)
+}
+
+// Next returns the item to dispatch first among those that can run on one of
+// the free targets. Exclusive items are limited to the targets in exclusive.
+// Tiers below (larger than) the tier of withheld do not get its targets. It
+// returns nil when there is none.
+func (q *Queue[V]) Next(free, exclusive uint64, withheld Withheld) *Item[V] {
+	for i, t := range q.tiers {
+		usable := free
+		if i > withheld.Tier {
+			usable &^= withheld.Targets
+		}
+		if item := t.next(usable, exclusive); item != nil {
+			return item
+		}
+	}
+	return nil
+}
+
+// SetTimer changes the time at which Due returns the item.
+func (q *Queue[V]) SetTimer(item *Item[V], at time.Time) {
+	item.Timer = at
+	q.timers.fix(item)
+}
+
+// Due returns an item whose timer is not after now, or nil. The caller removes
+// the item or sets a later timer.
+func (q *Queue[V]) Due(now time.Time) *Item[V] {
+	if len(q.timers.items) == 0 || q.timers.items[0].Timer.After(now) {
+		return nil
+	}
+	return q.timers.items[0]
+}
+
+// Len returns the number of waiting items.
+func (q *Queue[V]) Len() int {
+	return len(q.timers.items)
+}
+
+// Counts returns the number of waiting items by tier.
+func (q *Queue[V]) Counts() []int {
+	counts := make([]int, len(q.tiers))
+	for i, t := range q.tiers {
+		counts[i] = t.count
+	}
+	return counts
+}
+
+// LowestTier returns the largest tier number that has waiting items, or -1.
+func (q *Queue[V]) LowestTier() int {
+	for i, t := range slices.Backward(q.tiers) {
+		if t.count > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// Newest returns the item of a tier that was added last, or nil.
+func (q *Queue[V]) Newest(tier int) *Item[V] {
+	if tier >= len(q.tiers) {
+		return nil
+	}
+	return q.tiers[tier].newest
+}
+
+// Ahead estimates the work that is served before an item of this tier, account,
+// class and work: everything of higher tiers, and in its own tier the share of
+// the other accounts until the item's turn comes. Work of a class counts in
+// proportion to the targets that the two classes share.
+func (q *Queue[V]) Ahead(tier int, account string, class Class, work time.Duration) time.Duration {
+	total := time.Duration(0)
+	for i, t := range q.tiers[:min(tier+1, len(q.tiers))] {
+		shared := t.sharedWork(class)
+		if i == tier {
+			shared = min(shared, t.fairWork(account, work))
+		}
+		total += shared
+	}
+	return total
+}
+
+// Reclassify recomputes the class of every item. Its cost grows with the number
+// of waiting items; it is meant for changes of the target set.
+func (q *Queue[V]) Reclassify(class func(item *Item[V]) Class) {
+	for _, item := range slices.Clone(q.timers.items) {
+		if next := class(item); next != item.Class {
+			q.tiers[item.Tier].remove(item)
+			item.Class = next
+			q.tiers[item.Tier].add(item)
+		}
+	}
+}
+
+// EachClass calls visit for every waiting item of the classes that match; visit
+// may remove the item. Its cost grows with the items of those classes.
+func (q *Queue[V]) EachClass(match func(Class) bool, visit func(item *Item[V])) {
+	var found []*Item[V]
+	for _, t := range q.tiers {
+		for _, c := range t.classes {
+			if !match(c.Class) {
+				continue
+			}
+			for _, l := range c.lanes.items {
+				found = append(found, l.items.items...)
+			}
+		}
+	}
+	for _, item := range found {
+		visit(item)
+	}
+}
+
+// Work returns the predicted work of all waiting items.
+func (q *Queue[V]) Work() time.Duration {
+	total := time.Duration(0)
+	for _, t := range q.tiers {
+		for _, c := range t.classes {
+			total += c.work
+		}
+	}
+	return total
+}
+
+// overlap returns the part of work that competes for the targets of mine.
+func overlap(work time.Duration, other, mine Class) time.Duration {
+	size := bits.OnesCount64(other.Targets)
+	if size == 0 {
+		return 0
+	}
+	common := bits.OnesCount64(other.Targets & mine.Targets)
+	return work * time.Duration(common) / time.Duration(size)
+}
--- /dev/null
+++ b/balancer/load.go
@@ -0,0 +1,16 @@
+package balancer
+
+import "time"
+
+// Load summarizes one target group, as its owner told it last.
+type Load struct {
+	// FreeSlots counts the requests that would be granted at once.
+	FreeSlots int
+	// Waiting counts the waiting requests by tier.
+	Waiting []int
+	// LowestTier is the lowest tier (largest number) that waits or runs
+	// preemptibly; -1 when there is none.
+	LowestTier int
+	// PredictedWait is the time that the waiting work takes.
+	PredictedWait time.Duration
+}
--- /dev/null
+++ b/balancer/picker.go
@@ -0,0 +1,126 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Target is what a picker knows about one target with room for the request.
+type Target struct {
+	Slots int
+	// InFlight counts the requests that the group dispatched and that run.
+	InFlight int
+	// Reported is the load that the target reported last; it may be stale.
+	Reported int
+	// Finish is the predicted time until the request ends on this target, with
+	// the work in flight there and the cached prefix taken into account.
+	Finish time.Duration
+	// CachedTokens is the expected length of the cached prefix.
+	CachedTokens int
+}
+
+// Picker chooses one of several targets.
+type Picker interface {
+	// Pick returns an index into targets, which is not empty.
+	Pick(targets []Target) int
+}
+
+// Builder makes pickers. A picker may keep state, so each group gets its own.
+type Builder interface {
+	Name() string
+	Build(seed uint64) Picker
+}
+
+// Builders returns all builders, the one in use last.
+func Builders() []Builder {
+	return []Builder{Random{}, LeastOutstanding{}, PowerOfTwo{}, PredictedFinish{}}
+}
+
+// Random chooses uniformly.
+type Random struct{}
+
+// Name implements Builder.
+func (Random) Name() string { return "random" }
+
+// Build implements Builder.
+func (Random) Build(seed uint64) Picker { return randomPicker{rng: newRand(seed)} }
+
+type randomPicker struct{ rng *rand.Rand }
+
+func (p randomPicker) Pick(targets []Target) int { return p.rng.IntN(len(targets)) }
+
+// LeastOutstanding chooses the target with the fewest requests of this group.
+type LeastOutstanding struct{}
+
+// Name implements Builder.
+func (LeastOutstanding) Name() string { return "least-outstanding" }
+
+// Build implements Builder.
+func (LeastOutstanding) Build(uint64) Picker { return leastPicker{} }
+
+type leastPicker struct{}
+
+func (leastPicker) Pick(targets []Target) int {
+	return best(targets, func(a, b Target) bool { return a.InFlight < b.InFlight })
+}
+
+// PowerOfTwo compares the reported load of two targets chosen at random.
+type PowerOfTwo struct{}
+
+// Name implements Builder.
+func (PowerOfTwo) Name() string { return "power-of-two" }
+
+// Build implements Builder.
+func (PowerOfTwo) Build(seed uint64) Picker { return twoPicker{rng: newRand(seed)} }
+
+type twoPicker struct{ rng *rand.Rand }
+
+func (p twoPicker) Pick(targets []Target) int {
+	if len(targets) == 1 {
+		return 0
+	}
+	a := p.rng.IntN(len(targets))
+	b := p.rng.IntN(len(targets) - 1)
+	if b >= a {
+		b++
+	}
+	if targets[b].Reported < targets[a].Reported {
+		return b
+	}
+	return a
+}
+
+// PredictedFinish chooses the target where the request is predicted to end
+// first, from exact counts, engine speed and the cached prefix.
+type PredictedFinish struct{}
+
+// Name implements Builder.
+func (PredictedFinish) Name() string { return "predicted-finish" }
+
+// Build implements Builder.
+func (PredictedFinish) Build(uint64) Picker { return finishPicker{} }
+
+type finishPicker struct{}
+
+func (finishPicker) Pick(targets []Target) int {
+	return best(targets, func(a, b Target) bool {
+		if a.Finish != b.Finish {
+			return a.Finish < b.Finish
+		}
+		return a.InFlight < b.InFlight
+	})
+}
+
+func best(targets []Target, less func(a, b Target) bool) int {
+	first := 0
+	for i := range targets {
+		if less(targets[i], targets[first]) {
+			first = i
+		}
+	}
+	return first
+}
+
+func newRand(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, 1))
+}
--- /dev/null
+++ b/estimate/model.go
@@ -0,0 +1,214 @@
+package estimate
+
+import (
+	"math/bits"
+	"time"
+)
+
+const (
+	// DefaultPrefillRate is the prefill rate in tokens/s before any observation.
+	DefaultPrefillRate = 8000
+	// DefaultTokenTime is the decode time per token at batch size 1 before any
+	// observation; each further request in the batch adds DefaultTokenTimeSlope.
+	DefaultTokenTime      = 15 * time.Millisecond
+	DefaultTokenTimeSlope = 400 * time.Microsecond
+	// DefaultOutputTokens is the expected output before any observation.
+	DefaultOutputTokens = 256
+	// DefaultPlainTime is the expected duration of a plain call.
+	DefaultPlainTime = 20 * time.Millisecond
+
+	// OutputQuantile is the quantile of the output length that is predicted.
+	// Above the median, so that most requests finish within their prediction.
+	OutputQuantile = 0.7
+	// settledSamples is the number of observations after which an estimate is
+	// trusted enough to refuse a request on its account.
+	settledSamples = 8
+
+	batchBuckets = 10
+	maxEngines   = 256
+	maxOutputs   = 8192
+)
+
+// Model predicts times and lengths. The zero value is not usable; call New.
+type Model struct {
+	engines map[engineKey]*engine
+	outputs map[outputKey]*quantile
+}
+
+type engineKey struct{ version, hardware string }
+
+type outputKey struct{ service, account string }
+
+// engine holds the estimates of one version on one hardware generation.
+type engine struct {
+	prefill tracker
+	plain   tracker
+	decode  [batchBuckets]tracker
+	samples int
+}
+
+// New returns a model with defaults only.
+func New() *Model {
+	return &Model{
+		engines: make(map[engineKey]*engine),
+		outputs: make(map[outputKey]*quantile),
+	}
+}
+
+// Job is the part of a request that decides how long it takes.
+type Job struct {
+	Version, Hardware string
+	// PrefillTokens are prompt tokens that are not in the engine's cache.
+	PrefillTokens int
+	OutputTokens  int
+	// Batch is the number of requests in the engine, this one included.
+	Batch int
+	// Plain marks a call of a service without tokens.
+	Plain bool
+}
+
+// Prediction is a pair of times since dispatch to an engine with a free slot.
+type Prediction struct {
+	FirstToken time.Duration
+	Finish     time.Duration
+}
+
+// Predict returns the expected times of a job.
+func (m *Model) Predict(job Job) Prediction {
+	if job.Plain {
+		d := m.plainTime(job.Version, job.Hardware)
+		return Prediction{FirstToken: d, Finish: d}
+	}
+	first := m.PrefillTime(job.Version, job.Hardware, job.PrefillTokens)
+	decode := m.TokenTime(job.Version, job.Hardware, job.Batch) * time.Duration(max(job.OutputTokens, 1))
+	return Prediction{FirstToken: first, Finish: first + decode}
+}
+
+// PrefillTime returns the time to prefill a number of tokens.
+func (m *Model) PrefillTime(version, hardware string, tokens int) time.Duration {
+	rate := float64(DefaultPrefillRate)
+	if e := m.engines[engineKey{version, hardware}]; e != nil && e.prefill.samples > 0 {
+		rate = e.prefill.value()
+	}
+	return time.Duration(float64(max(tokens, 0)) / rate * float64(time.Second))
+}
+
+// TokenTime returns the time per output token at a batch size.
+func (m *Model) TokenTime(version, hardware string, batch int) time.Duration {
+	usual := defaultTokenTime(batch)
+	e := m.engines[engineKey{version, hardware}]
+	if e == nil {
+		return usual
+	}
+	at := batchBucket(batch)
+	for distance := range batchBuckets {
+		for _, i := range [2]int{at - distance, at + distance} {
+			if i >= 0 && i < batchBuckets && e.decode[i].samples > 0 {
+				return time.Duration(float64(usual) * e.decode[i].value())
+			}
+		}
+	}
+	return usual
+}
+
+// Settled reports whether enough was observed to refuse work on a prediction.
+func (m *Model) Settled(version, hardware string) bool {
+	e := m.engines[engineKey{version, hardware}]
+	return e != nil && e.samples >= settledSamples
+}
+
+// Observation is what one finished request showed.
+type Observation struct {
+	Job
+	// Queued marks a request that waited in the engine for a slot; its first
+	// token says nothing about the prefill rate.
+	Queued bool
+	// Ahead are tokens of other requests that were prefilled before this one
+	// on the same engine.
+	Ahead      int
+	FirstToken time.Duration
+	Duration   time.Duration
+}
+
+// minPrefillSample is the smallest prefill that says something about the rate;
+// below it, the fixed time of a request dominates.
+const minPrefillSample = 64
+
+// Observe corrects the estimates of one version and hardware generation.
+func (m *Model) Observe(o Observation) {
+	e := m.engine(engineKey{o.Version, o.Hardware})
+	e.samples++
+	if o.Plain {
+		e.plain.observe(o.Duration.Seconds())
+		return
+	}
+	if tokens := o.PrefillTokens + o.Ahead; !o.Queued && tokens >= minPrefillSample && o.FirstToken > 0 {
+		e.prefill.observe(float64(tokens) / o.FirstToken.Seconds())
+	}
+	if decode := o.Duration - o.FirstToken; o.OutputTokens > 1 && decode > 0 {
+		perToken := decode.Seconds() / float64(o.OutputTokens-1)
+		e.decode[batchBucket(o.Batch)].observe(perToken / defaultTokenTime(o.Batch).Seconds())
+	}
+}
+
+// OutputTokens returns the expected output of an account on a service, at most
+// maxTokens; maxTokens 0 is no bound.
+func (m *Model) OutputTokens(service, account string, maxTokens int) int {
+	expected := DefaultOutputTokens
+	if q := m.outputs[outputKey{service, account}]; q != nil {
+		expected = int(q.value() + 0.5)
+	}
+	if maxTokens > 0 {
+		expected = min(expected, maxTokens)
+	}
+	return max(expected, 1)
+}
+
+// ObserveOutput corrects the expected output of an account on a service.
+func (m *Model) ObserveOutput(service, account string, tokens int) {
+	key := outputKey{service, account}
+	q := m.outputs[key]
+	if q == nil {
+		makeRoom(m.outputs, maxOutputs)
+		q = &quantile{}
+		m.outputs[key] = q
+	}
+	q.observe(float64(tokens), OutputQuantile)
+}
+
+func (m *Model) plainTime(version, hardware string) time.Duration {
+	if e := m.engines[engineKey{version, hardware}]; e != nil && e.plain.samples > 0 {
+		return time.Duration(e.plain.value() * float64(time.Second))
+	}
+	return DefaultPlainTime
+}
+
+func (m *Model) engine(key engineKey) *engine {
+	e := m.engines[key]
+	if e == nil {
+		makeRoom(m.engines, maxEngines)
+		e = &engine{}
+		m.engines[key] = e
+	}
+	return e
+}
+
+// makeRoom drops an arbitrary entry of a full map; what is still in use is
+// learned again after a few requests.
+func makeRoom[K comparable, V any](entries map[K]V, limit int) {
+	if len(entries) < limit {
+		return
+	}
+	for key := range entries {
+		delete(entries, key)
+		return
+	}
+}
+
+func defaultTokenTime(batch int) time.Duration {
+	return DefaultTokenTime + time.Duration(max(batch, 1)-1)*DefaultTokenTimeSlope
+}
+
+func batchBucket(batch int) int {
+	return min(bits.Len(uint(max(batch, 1)))-1, batchBuckets-1)
+}
--- /dev/null
+++ b/owner/group.go
@@ -0,0 +1,307 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/admission"
+	"github.com/marjoramflow/marjoramflow/prefix"
+)
+
+// resyncGrace is the age below which a grant that an entry does not list in a
+// Resync is kept: the grant and the list may have crossed on the way.
+const resyncGrace = 2 * time.Second
+
+// Group is the state of one target group.
+type Group struct {
+	service string
+	number  int
+	options Options
+
+	targets []*target
+	byName  map[string]*target
+	jobs    map[string]*job
+	byEntry map[string]map[string]*job
+	queue   *admission.Queue[*job]
+	// preempting counts the victims that were asked to stop and still run.
+	preempting int
+	// meanWork is the mean work of the requests granted last.
+	meanWork  time.Duration
+	nextSpeed time.Time
+
+	// out collects the decisions of the call in progress.
+	out []Decision
+	// candidates is reused between choices of a target.
+	candidates candidates
+}
+
+// NewGroup returns an empty group.
+func NewGroup(service string, number int, opts Options) *Group {
+	return &Group{
+		service: service,
+		number:  number,
+		options: opts.withDefaults(),
+		byName:  make(map[string]*target),
+		jobs:    make(map[string]*job),
+		byEntry: make(map[string]map[string]*job),
+		queue:   admission.New[*job](),
+	}
+}
+
+// SetTargets replaces the targets of the group, at most 64. A target that is no
+// longer listed gets no new work; its requests in flight stay until they are
+// released. Targets start in state Up.
+func (g *Group) SetTargets(now time.Time, infos []TargetInfo) []Decision {
+	g.targets = g.targets[:0]
+	kept := make(map[string]*target, len(infos))
+	for i, info := range infos {
+		t := g.byName[info.Name]
+		if t == nil {
+			t = newTarget(info, 0, g.options.PrefixBlocks)
+		}
+		t.info = info
+		t.bit = 1 << i
+		g.targets = append(g.targets, t)
+		kept[info.Name] = t
+	}
+	for name, t := range g.byName {
+		if kept[name] == nil && len(t.running) > 0 {
+			t.bit = 0
+			kept[name] = t
+		}
+	}
+	g.byName = kept
+	g.nextSpeed = time.Time{}
+	g.queue.Reclassify(func(item *admission.Item[*job]) admission.Class {
+		return g.classOf(&item.Value.request)
+	})
+	g.refuseStranded()
+	return g.finish(now)
+}
+
+// SetTargetState changes whether a target gets new work. Waiting requests that
+// no target in state Up can run are refused, so that their entries ask another
+// group.
+func (g *Group) SetTargetState(now time.Time, name string, state TargetState) []Decision {
+	t := g.byName[name]
+	if t == nil || t.state == state {
+		return nil
+	}
+	if t.state == Down {
+		t.index.Reset()
+	}
+	t.state = state
+	g.refuseStranded()
+	return g.finish(now)
+}
+
+// ReportLoad records the load that a target told; pickers that use stale reports
+// read it.
+func (g *Group) ReportLoad(name string, running int) {
+	if t := g.byName[name]; t != nil {
+		t.reported = running
+	}
+}
+
+// Cancel drops a request that waits or runs.
+func (g *Group) Cancel(now time.Time, id string) []Decision {
+	if j := g.jobs[id]; j != nil {
+		g.drop(j)
+	}
+	return g.finish(now)
+}
+
+// Release ends a grant. A preempted request waits again.
+func (g *Group) Release(now time.Time, report Report) []Decision {
+	j := g.jobs[report.ID]
+	if j == nil || j.target == nil || (report.Target != "" && report.Target != j.target.info.Name) {
+		return g.finish(now)
+	}
+	g.observe(j, report)
+	if report.Outcome == OutcomePreempted {
+		g.requeue(now, j, report)
+	} else {
+		g.drop(j)
+	}
+	return g.finish(now)
+}
+
+// EntryGone drops every request of an entry that no longer exists.
+func (g *Group) EntryGone(now time.Time, entry string) []Decision {
+	for _, j := range g.byEntry[entry] {
+		g.drop(j)
+	}
+	return g.finish(now)
+}
+
+// Resync registers the grants that an entry holds, after this daemon has become
+// the owner or a session was lost. Grants of the entry that are not listed and
+// older than a grace period are dropped; waiting requests stay.
+func (g *Group) Resync(now time.Time, entry string, held []Held) []Decision {
+	listed := make(map[string]bool, len(held))
+	for _, h := range held {
+		listed[h.Request.ID] = true
+		g.hold(now, entry, h)
+	}
+	for id, j := range g.byEntry[entry] {
+		if j.target != nil && !listed[id] && now.Sub(j.granted) > resyncGrace {
+			g.drop(j)
+		}
+	}
+	return g.finish(now)
+}
+
+// hold registers one grant made by an earlier owner.
+func (g *Group) hold(now time.Time, entry string, h Held) {
+	t := g.byName[h.Target]
+	old := g.jobs[h.Request.ID]
+	if t == nil || (old != nil && old.target == t) {
+		return
+	}
+	if old != nil {
+		g.drop(old)
+	}
+	j := &job{request: h.Request}
+	j.request.Entry = entry
+	j.request.Tier = clampTier(j.request.Tier)
+	g.register(j)
+	g.place(now, j, t)
+}
+
+// CacheEvents applies cache events of a target.
+func (g *Group) CacheEvents(now time.Time, name string, events []prefix.Event) {
+	t := g.byName[name]
+	if t == nil {
+		return
+	}
+	for _, event := range events {
+		t.index.Event(now, event)
+	}
+}
+
+// Tick refuses waiting requests whose time is over, preempts for those that
+// would be late, and grants what has room. Call it every 50 ms or so.
+func (g *Group) Tick(now time.Time) []Decision {
+	return g.finish(now)
+}
+
+// Load returns the summary for replies.
+func (g *Group) Load() Load {
+	load := Load{Waiting: g.queue.Counts(), LowestTier: g.queue.LowestTier()}
+	for _, t := range g.targets {
+		if t.state == Up {
+			load.FreeSlots += max(t.info.Slots-len(t.running), 0)
+		}
+		for tier, list := range slices.Backward(t.victims[:]) {
+			if list.count > 0 {
+				load.LowestTier = max(load.LowestTier, tier)
+				break
+			}
+		}
+	}
+	load.PredictedWait = g.waitFor(g.queue.Work(), g.upMask())
+	return load
+}
+
+// InFlight returns the requests in flight on a target, in no particular order.
+func (g *Group) InFlight(name string) []Running {
+	t := g.byName[name]
+	if t == nil {
+		return nil
+	}
+	all := make([]Running, 0, len(t.running))
+	for _, j := range t.running {
+		all = append(all, Running{ID: j.request.ID, Fingerprint: j.request.Fingerprint, Entry: j.request.Entry})
+	}
+	return all
+}
+
+// finish grants what has room, handles timers and returns the decisions of the
+// call.
+func (g *Group) finish(now time.Time) []Decision {
+	g.refreshSpeeds(now)
+	g.handleTimers(now)
+	g.dispatch(now)
+	out := g.out
+	g.out = nil
+	return out
+}
+
+func (g *Group) decide(kind DecisionKind, j *job, d Decision) {
+	d.Kind = kind
+	d.ID = j.request.ID
+	d.Entry = j.request.Entry
+	g.out = append(g.out, d)
+}
+
+func (g *Group) register(j *job) {
+	g.jobs[j.request.ID] = j
+	own := g.byEntry[j.request.Entry]
+	if own == nil {
+		own = make(map[string]*job)
+		g.byEntry[j.request.Entry] = own
+	}
+	own[j.request.ID] = j
+}
+
+// drop forgets a job wherever it is.
+func (g *Group) drop(j *job) {
+	g.leaveTarget(j)
+	if j.item.Waiting() {
+		g.queue.Remove(&j.item)
+	}
+	delete(g.jobs, j.request.ID)
+	own := g.byEntry[j.request.Entry]
+	delete(own, j.request.ID)
+	if len(own) == 0 {
+		delete(g.byEntry, j.request.Entry)
+	}
+}
+
+func (g *Group) leaveTarget(j *job) {
+	if j.target == nil {
+		return
+	}
+	if j.preempting {
+		g.preempting--
+	}
+	j.target.remove(j)
+}
+
+// refuse drops a job and tells its entry.
+func (g *Group) refuse(j *job, reason Reason, retryAfter time.Duration) {
+	g.decide(Refuse, j, Decision{Reason: reason, RetryAfter: retryAfter})
+	g.drop(j)
+}
+
+// refuseStranded refuses waiting requests that no target in state Up can run.
+func (g *Group) refuseStranded() {
+	up := g.upMask()
+	g.queue.EachClass(func(class admission.Class) bool { return class.Targets&up == 0 },
+		func(item *admission.Item[*job]) { g.refuse(item.Value, ReasonNoTarget, 0) })
+}
+
+func (g *Group) upMask() uint64 {
+	mask := uint64(0)
+	for _, t := range g.targets {
+		if t.state == Up {
+			mask |= t.bit
+		}
+	}
+	return mask
+}
+
+// classOf returns the targets that the configuration permits for a request.
+func (g *Group) classOf(r *Request) admission.Class {
+	class := admission.Class{Exclusive: r.Suspect}
+	for _, t := range g.targets {
+		if t.serves(r) {
+			class.Targets |= t.bit
+		}
+	}
+	return class
+}
+
+func clampTier(tier int) int {
+	return max(0, min(tier, MaxTier))
+}
--- /dev/null
+++ b/owner/job.go
@@ -0,0 +1,79 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/admission"
+)
+
+// job is one request that waits or runs.
+type job struct {
+	request Request
+	item    admission.Item[*job]
+	// target is set while the job runs.
+	target *target
+	// granted is the time of the last grant.
+	granted time.Time
+	// firstToken and finish are predicted times of the running job.
+	firstToken, finish time.Time
+	// ahead are tokens that the target prefills before this job.
+	ahead int
+	// cached is the expected cached prefix at the time of the grant.
+	cached int
+	// batch is the number of requests on the target at the time of the grant.
+	batch int
+	// kv is the KV cache that the job takes on its target.
+	kv int
+	// inBacklog marks a job that was granted while all slots were taken.
+	inBacklog bool
+	// preempting is set from the Preempt decision to the release.
+	preempting bool
+	// victims counts the preemptions that were made while this job waited.
+	victims int
+	// passed counts how often others went before this job because it did not fit.
+	passed int
+
+	// older and newer link the preemptible jobs of one tier on a target.
+	older, newer *job
+}
+
+// victim reports whether a running job can be preempted.
+func (j *job) victim() bool {
+	return j.request.Preemptible && !j.request.Plain && !j.preempting
+}
+
+// prefilling reports whether the job has probably not finished its prefill.
+func (j *job) prefilling(now time.Time) bool {
+	return now.Before(j.firstToken)
+}
+
+// victimList links the preemptible jobs of one tier on a target, newest last.
+type victimList struct {
+	newest *job
+	count  int
+	kv     int
+}
+
+func (l *victimList) add(j *job) {
+	j.older = l.newest
+	if l.newest != nil {
+		l.newest.newer = j
+	}
+	l.newest = j
+	l.count++
+	l.kv += j.kv
+}
+
+func (l *victimList) remove(j *job) {
+	if j.newer != nil {
+		j.newer.older = j.older
+	} else {
+		l.newest = j.older
+	}
+	if j.older != nil {
+		j.older.newer = j.newer
+	}
+	j.older, j.newer = nil, nil
+	l.count--
+	l.kv -= j.kv
+}
