--- /dev/null
+++ b/internal/memtable/memtable.go
@@ -0,0 +1,131 @@
+// Package memtable is a table service in memory with switchable failures, for
+// tests and for measurements in virtual time.
+package memtable
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/marjoramflow/marjoramflow/platform"
+)
+
+// Failure is what happens to one call.
+type Failure int
+
+const (
+	// None lets the call pass.
+	None Failure = iota
+	// Down refuses the call with platform.ErrUnavailable.
+	Down
+	// LostRequest has no effect and returns platform.ErrUnknown from Commit.
+	LostRequest
+	// LostAnswer takes effect and returns platform.ErrUnknown from Commit.
+	LostAnswer
+)
+
+// Table is a table service in memory. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	version uint64
+	// fail decides on each call; nil lets all pass.
+	fail func(commit bool) Failure
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{rows: make(map[string]platform.Row)}
+}
+
+// SetFailure installs the function that decides the fate of each call. It is
+// called with the table locked.
+func (t *Table) SetFailure(fail func(commit bool) Failure) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fail = fail
+}
+
+// Get implements platform.Table.
+func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ctx.Err() != nil || t.failure(false) != None {
+		return nil, platform.ErrUnavailable
+	}
+	rows := make([]platform.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = t.rows[key]
+		rows[i].Key = key
+	}
+	return rows, nil
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(ctx context.Context, writes ...platform.Write) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ctx.Err() != nil {
+		return platform.ErrUnavailable
+	}
+	failure := t.failure(true)
+	switch failure {
+	case Down:
+		return platform.ErrUnavailable
+	case LostRequest:
+		return platform.ErrUnknown
+	}
+	err := t.apply(writes)
+	if failure == LostAnswer {
+		return platform.ErrUnknown
+	}
+	return err
+}
+
+// List implements platform.Table.
+func (t *Table) List(ctx context.Context, prefix string, limit int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ctx.Err() != nil || t.failure(false) != None {
+		return nil, platform.ErrUnavailable
+	}
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (t *Table) failure(commit bool) Failure {
+	if t.fail == nil {
+		return None
+	}
+	return t.fail(commit)
+}
+
+// apply writes all or nothing. Versions are taken from one counter for the whole
+// table, so that nobody can rely on a step of one.
+func (t *Table) apply(writes []platform.Write) error {
+	var conflicts []string
+	for _, w := range writes {
+		if !w.Unconditional && t.rows[w.Key].Version != w.IfVersion {
+			conflicts = append(conflicts, w.Key)
+		}
+	}
+	if len(conflicts) > 0 {
+		return &platform.ConflictError{Keys: conflicts}
+	}
+	for _, w := range writes {
+		t.version++
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
+	}
+	return nil
+}
