--- /dev/null
+++ b/rollout/machine_test.go
@@ -0,0 +1,110 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/object"
+)
+
+// fixedJudge returns the same verdict always.
+type fixedJudge struct{ verdict Verdict }
+
+func (f fixedJudge) Judge(*Tally, time.Time, uint32) Verdict { return f.verdict }
+
+// drive runs one move with ports that always succeed and returns the final row
+// and the time taken.
+func drive(t *testing.T, m *Machine, move *object.Move) (Row, time.Duration) {
+	t.Helper()
+	in := &Input{Now: start, Move: move, Lease: Lease{Held: true, Fence: 1, Left: 10 * time.Second, Since: start}}
+	in.Targets = []Target{{Object: &object.Target{Name: "t", DataCentre: "d"}}}
+	for in.Now.Before(move.Deadline) {
+		for _, action := range m.Next(in) {
+			switch a := action.(type) {
+			case WriteRow:
+				assert.Equal(t, a.IfVersion, in.RowVersion)
+				in.Row, in.RowVersion, in.Since = a.Row, in.RowVersion+1, in.Now
+			case SendOrder:
+				in.Targets[0].Loaded = true
+			case Wait:
+				in.Now = in.Now.Add(a.For)
+			}
+		}
+		if in.Row.Phase.Final() {
+			break
+		}
+	}
+	return in.Row, in.Now.Sub(start)
+}
+
+func testMove(d time.Duration) *object.Move {
+	return &object.Move{Name: "m", Service: "s", From: "v1", To: "v2", Attempt: 1, Deadline: start.Add(d)}
+}
+
+// Guards against a good move that misses its deadline, with and without evidence.
+func TestMachineFinishesInTime(t *testing.T) {
+	for _, d := range []time.Duration{40 * time.Second, 2 * time.Minute, 15 * time.Minute} {
+		for _, good := range []bool{true, false} {
+			m := &Machine{Options: DefaultOptions(), Judge: fixedJudge{Verdict{Good: good}}}
+			row, took := drive(t, m, testMove(d))
+			assert.Equal(t, row.Phase, Done, "deadline %v", d)
+			assert.Assert(t, took <= d-m.Options.DoneLead-m.Options.WriteAllowance)
+			if good {
+				assert.Assert(t, took < time.Minute)
+			}
+		}
+	}
+}
+
+// Guards against a bad or doubtful version that becomes done.
+func TestMachineReverses(t *testing.T) {
+	for _, v := range []Verdict{{Bad: true, Reason: "errors"}, {Suspicious: true}} {
+		m := &Machine{Options: DefaultOptions(), Judge: fixedJudge{v}}
+		row, _ := drive(t, m, testMove(2*time.Minute))
+		assert.Equal(t, row.Phase, Reversed)
+		assert.Equal(t, row.Share, uint32(0))
+		assert.Assert(t, row.Reason != "")
+	}
+}
+
+// Guards against orders that can outlive the lease on a target that does not
+// check fencing numbers, and against orders during the predecessor's timeouts.
+func TestOrdersToTargetsWithoutFencing(t *testing.T) {
+	m := &Machine{Options: DefaultOptions(), Judge: fixedJudge{}}
+	in := &Input{Now: start, Move: testMove(time.Minute), Targets: []Target{
+		{Object: &object.Target{Name: "plain"}}, {Object: &object.Target{Name: "checks", ChecksFencing: true}},
+	}}
+	for _, c := range []struct {
+		fence      uint64
+		left, held time.Duration
+		want       int
+	}{
+		{1, 9 * time.Second, 0, 2},
+		{2, 9 * time.Second, 0, 1},
+		{2, 9 * time.Second, m.Options.OrderTimeout, 2},
+		{1, m.Options.OrderTimeout - 1, 0, 1},
+	} {
+		in.Lease = Lease{Held: true, Fence: c.fence, Left: c.left, Since: start.Add(-c.held)}
+		assert.Equal(t, len(m.orders(in)), c.want)
+	}
+}
+
+// Guards against an attempt that is revived after its reversal.
+func TestReversedAttemptStaysReversed(t *testing.T) {
+	m := &Machine{Options: DefaultOptions(), Judge: fixedJudge{Verdict{Good: true}}}
+	row := testRow(Reversed, 0)
+	in := &Input{
+		Now: start, Move: testMove(time.Minute), Row: row, RowVersion: 5,
+		Lease: Lease{Held: true, Fence: 2, Left: time.Second},
+	}
+	_, waits := m.Next(in)[0].(Wait)
+	assert.Assert(t, waits)
+	in.Move.Attempt = 2
+	write, ok := m.Next(in)[0].(WriteRow)
+	assert.Assert(t, ok)
+	assert.Equal(t, write.Row.Phase, Pending)
+	in.Cut = "errors"
+	assert.Equal(t, m.Next(in)[0].(WriteRow).Row.Phase, Reversed)
+}
--- /dev/null
+++ b/rollout/sequential_test.go
@@ -0,0 +1,107 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stream feeds answers of both versions and returns the time at which the verdict
+// was Bad, or 0.
+func stream(seed uint64, test *Test, seconds, rate int, share, oldBad, newBad float64, slow bool) time.Duration {
+	r := rand.New(rand.NewPCG(seed, 7))
+	tally := NewTally("v1", "v2")
+	for second := range seconds {
+		now := start.Add(time.Duration(second) * time.Second)
+		e := &Evidence{Origin: "o", Sequence: uint64(second + 1)}
+		for range rate {
+			c := Cell{Version: "v1", Route: "r", Target: fmt.Sprint(r.IntN(4)), Load: uint32(r.IntN(2)), Requests: 1}
+			p := oldBad
+			if r.Float64() < share {
+				c.Version, p = "v2", newBad
+			}
+			if r.Float64() < p {
+				if slow {
+					c.Slow = 1
+				} else {
+					c.Errors = 1
+				}
+			}
+			e.Cells = append(e.Cells, c)
+		}
+		tally.Merge(now, e)
+		if test.Judge(tally, now, 500).Bad {
+			return now.Sub(start) + time.Second
+		}
+	}
+	return 0
+}
+
+// Guards against good versions being reversed, early in a move with few old
+// answers as well as late. 300 sequences at alpha 0.1% allow 2 (p < 0.4%).
+func TestGoodVersionIsNotCalledBad(t *testing.T) {
+	bad := 0
+	for seed := range uint64(300) {
+		oldRate := []float64{0, 0.002, 0.05}[seed%3]
+		newShare := []float64{0.01, 0.5, 0.9}[seed/3%3]
+		slow := seed/9%2 == 0
+		if slow {
+			oldRate = 0.1
+		}
+		if stream(seed, NewTest(), 40, 30, newShare, oldRate, oldRate, slow) > 0 {
+			bad++
+		}
+	}
+	assert.Assert(t, bad <= 2, "%d good versions were called bad", bad)
+}
+
+// Guards against a fault that stays undetected.
+func TestBadVersionIsFound(t *testing.T) {
+	for seed := range uint64(20) {
+		assert.Assert(t, stream(seed, NewTest(), 120, 30, 0.5, 0.002, 0.10, false) > 0)
+		assert.Assert(t, stream(seed, NewTest(), 120, 30, 0.5, 0.1, 0.5, true) > 0)
+		found := stream(seed, NewTest(), 60, 30, 0.5, 0.002, 1, false)
+		assert.Assert(t, found > 0 && found <= 3*time.Second, "found after %v", found)
+	}
+}
+
+// Guards against a late fault that is hidden by thousands of good answers.
+func TestLateFaultIsFoundByWindow(t *testing.T) {
+	tally := NewTally("v1", "v2")
+	tally.Merge(start, &Evidence{Origin: "o", Sequence: 1, Cells: []Cell{
+		{Version: "v1", Route: "r", Requests: 20_000, Errors: 20},
+		{Version: "v2", Route: "r", Requests: 20_000, Errors: 20},
+	}})
+	late := start.Add(time.Minute)
+	tally.Merge(late, &Evidence{Origin: "o", Sequence: 2, Cells: []Cell{
+		{Version: "v2", Route: "r", Requests: 20, Errors: 10},
+	}})
+	v := NewTest().Judge(tally, late, FullShare)
+	assert.Assert(t, v.Bad)
+	assert.Assert(t, v.Reason != "")
+}
+
+// Guards against an incident that hits both versions being held against the new.
+func TestCommonIncidentIsNotHeldAgainstTheNewVersion(t *testing.T) {
+	tally := NewTally("v1", "v2")
+	tally.Merge(start, &Evidence{Origin: "o", Sequence: 1, Cells: []Cell{
+		{Version: "v1", Route: "r", Requests: 20_000}, {Version: "v2", Route: "r", Requests: 20_000},
+	}})
+	late := start.Add(time.Minute)
+	tally.Merge(late, &Evidence{Origin: "o", Sequence: 2, Cells: []Cell{
+		{Version: "v1", Route: "r", Requests: 60, Errors: 30}, {Version: "v2", Route: "r", Requests: 60, Errors: 30},
+	}})
+	assert.Assert(t, !NewTest().Judge(tally, late, FullShare).Bad)
+}
+
+// Guards against repeated and reordered messages being counted twice or dropped.
+func TestMergeIsIdempotent(t *testing.T) {
+	tally := NewTally("v1", "v2")
+	for _, sequence := range []uint64{3, 1, 3, 2, 1, 2, 70, 70, 2} {
+		tally.Merge(start, &Evidence{Origin: "o", Sequence: sequence, Cells: []Cell{{Version: "v2", Route: "r", Requests: 1}}})
+	}
+	assert.Equal(t, tally.pairs[stratum{route: "r"}].new.Requests, 4.0)
+}
--- /dev/null
+++ b/rollout/tally.go
@@ -0,0 +1,178 @@
+package rollout
+
+import (
+	"time"
+)
+
+// Cell counts the answers in one stratum.
+type Cell struct {
+	Version string
+	Route   string
+	Target  string
+	// Load is the load level of the target when the request was sent.
+	Load     uint32
+	Requests uint32
+	Errors   uint32
+	// Slow counts answers that took longer than 9 of 10 answers of the old
+	// version on the same route did.
+	Slow uint32
+}
+
+// Evidence carries the counts of one origin since its last message.
+type Evidence struct {
+	Move    string
+	Attempt int
+	// Origin names the sender and Sequence rises with each of its messages.
+	Origin   string
+	Sequence uint64
+	Cells    []Cell
+}
+
+const (
+	// windows are the spans over which the newest answers are judged on their
+	// own, so that earlier good answers do not hide a fault that appears late.
+	windowShort = 2 * time.Second
+	windowLong  = 10 * time.Second
+	// slot is the resolution of the windows.
+	slot  = 500 * time.Millisecond
+	slots = int(windowLong / slot)
+)
+
+// Counts are answers of one version in one stratum.
+type Counts struct {
+	Requests, Errors, Slow float64
+}
+
+func (c *Counts) add(o Counts) {
+	c.Requests += o.Requests
+	c.Errors += o.Errors
+	c.Slow += o.Slow
+}
+
+// stratum is a place where versions are compared.
+type stratum struct {
+	route  string
+	target string
+	load   uint32
+}
+
+// pair holds the counts of both versions in one stratum.
+type pair struct {
+	old, new   Counts
+	recentOld  [slots]Counts
+	recentNew  [slots]Counts
+	recentSlot [slots]int64
+}
+
+// Tally is the evidence of one attempt. It is not safe for concurrent use.
+type Tally struct {
+	From, To string
+	epoch    time.Time
+	pairs    map[stratum]*pair
+	origins  map[string]*seenSequences
+}
+
+// NewTally returns an empty tally for a move between two versions.
+func NewTally(from, to string) *Tally {
+	return &Tally{
+		From: from, To: to, pairs: make(map[stratum]*pair), origins: make(map[string]*seenSequences),
+	}
+}
+
+// Merge adds evidence that arrived at now. It reports false when the message was
+// merged before, or is older than the last 64 of its origin.
+func (t *Tally) Merge(now time.Time, e *Evidence) bool {
+	seen := t.origins[e.Origin]
+	if seen == nil {
+		seen = &seenSequences{}
+		t.origins[e.Origin] = seen
+	}
+	if !seen.first(e.Sequence) {
+		return false
+	}
+	if t.epoch.IsZero() {
+		t.epoch = now
+	}
+	for i := range e.Cells {
+		t.add(now, &e.Cells[i])
+	}
+	return true
+}
+
+func (t *Tally) add(now time.Time, c *Cell) {
+	if c.Version != t.From && c.Version != t.To {
+		return
+	}
+	key := stratum{route: c.Route, target: c.Target, load: c.Load}
+	p := t.pairs[key]
+	if p == nil {
+		p = &pair{}
+		t.pairs[key] = p
+	}
+	p.add(t.slot(now), c.Version == t.To, Counts{
+		Requests: float64(c.Requests),
+		Errors:   float64(min(c.Errors, c.Requests)),
+		Slow:     float64(min(c.Slow, c.Requests)),
+	})
+}
+
+// slot numbers the slot of now; 0 is never used.
+func (t *Tally) slot(now time.Time) int64 {
+	return int64(now.Sub(t.epoch)/slot) + 1
+}
+
+func (p *pair) add(s int64, isNew bool, c Counts) {
+	i := int(s) % slots
+	if p.recentSlot[i] != s {
+		p.recentSlot[i] = s
+		p.recentOld[i] = Counts{}
+		p.recentNew[i] = Counts{}
+	}
+	if isNew {
+		p.new.add(c)
+		p.recentNew[i].add(c)
+		return
+	}
+	p.old.add(c)
+	p.recentOld[i].add(c)
+}
+
+// recent returns the counts of the last span before the end of slot s.
+func (p *pair) recent(s int64, span time.Duration) (old, fresh Counts) {
+	first := s - int64(span/slot) + 1
+	for i := range p.recentSlot {
+		if p.recentSlot[i] >= first && p.recentSlot[i] <= s && p.recentSlot[i] > 0 {
+			old.add(p.recentOld[i])
+			fresh.add(p.recentNew[i])
+		}
+	}
+	return old, fresh
+}
+
+// seenSequences remembers which sequence numbers of an origin were merged: the
+// highest, and a bit for each of the 64 below and including it.
+type seenSequences struct {
+	highest uint64
+	bits    uint64
+}
+
+// first reports whether the number is new, and marks it.
+func (s *seenSequences) first(n uint64) bool {
+	if n > s.highest {
+		shift := n - s.highest
+		if shift >= 64 {
+			s.bits = 0
+		} else {
+			s.bits <<= shift
+		}
+		s.bits |= 1
+		s.highest = n
+		return true
+	}
+	back := s.highest - n
+	if back >= 64 || s.bits&(1<<back) != 0 {
+		return false
+	}
+	s.bits |= 1 << back
+	return true
+}
