Parse, check, diff and index sets of objects

Parsing reports every problem with file, line, object and field. Deltas carry the digest of their result, so a delta for another set is refused.

--- /dev/null
+++ b/object/check.go
@@ -0,0 +1,176 @@
+package object
+
+import (
+	"cmp"
+	"fmt"
+	"regexp"
+	"slices"
+)
+
+// namePattern keeps names usable in URLs, in log fields and, since it excludes
+// slashes, in row keys of the table service.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+const (
+	// maxNameLength keeps messages between daemons, which carry names, small.
+	maxNameLength = 63
+	// MaxTiers bounds the ranks; messages between daemons hold one number per tier.
+	MaxTiers = 16
+	// maxPathLength bounds a route's path.
+	maxPathLength = 512
+	// tokenDigestLength is the length of a SHA-256 digest in hex.
+	tokenDigestLength = 64
+	// fullShare is the share of traffic, in percent, of the last step of a move.
+	fullShare = 100
+	// sharesPerPercent is the resolution of shares: 1/10,000 of the traffic.
+	sharesPerPercent = 100
+)
+
+// Check returns every problem of the set as a whole. A set without problems can
+// be published. Check has no clock; CheckChange covers the rules that need one.
+func (s *Set) Check() Problems {
+	c := newChecker(s)
+	c.checkNames()
+	for i := range s.Services {
+		c.checkService(i, &s.Services[i])
+	}
+	c.checkRouteClashes()
+	for i := range s.Targets {
+		c.checkTarget(i, &s.Targets[i])
+	}
+	c.checkPlaces()
+	for i := range s.Versions {
+		c.checkVersion(i, &s.Versions[i])
+	}
+	for i := range s.Tiers {
+		c.checkTier(i, &s.Tiers[i])
+	}
+	c.checkRanks()
+	for i := range s.ClientAccounts {
+		c.checkAccount(i, &s.ClientAccounts[i])
+	}
+	for i := range s.Moves {
+		c.checkMove(i, &s.Moves[i])
+	}
+	c.checkMoveOverlap()
+	return c.sortedProblems()
+}
+
+// checker collects problems. Its maps hold the first object of each name.
+type checker struct {
+	set      *Set
+	names    map[Kind][]string
+	services map[string]*Service
+	versions map[string]*Version
+	tiers    map[string]*Tier
+	// served holds the versions that some target of their service can serve.
+	served map[string]bool
+	// digests holds the account that lists each token digest.
+	digests  map[string]int
+	problems Problems
+}
+
+func newChecker(s *Set) *checker {
+	c := &checker{
+		set:      s,
+		names:    s.allNames(),
+		services: byName(s.Services),
+		versions: byName(s.Versions),
+		tiers:    byName(s.Tiers),
+		served:   map[string]bool{},
+		digests:  map[string]int{},
+	}
+	for _, t := range s.Targets {
+		for _, name := range t.Versions {
+			if v := c.versions[name]; v != nil && v.Service == t.Service {
+				c.served[name] = true
+			}
+		}
+	}
+	return c
+}
+
+func byName[T named](objects []T) map[string]*T {
+	m := make(map[string]*T, len(objects))
+	for i := range objects {
+		if _, taken := m[objects[i].objectName()]; !taken {
+			m[objects[i].objectName()] = &objects[i]
+		}
+	}
+	return m
+}
+
+// report adds a problem of one object.
+func (c *checker) report(kind Kind, index int, field, format string, args ...any) {
+	c.problems = append(c.problems, Problem{
+		Position: c.set.Positions.find(joinPath(kind, index, field)),
+		Kind:     kind,
+		Object:   label(c.names[kind], index),
+		Field:    field,
+		Message:  fmt.Sprintf(format, args...),
+	})
+}
+
+// where names an object for messages about another one.
+func (c *checker) where(kind Kind, index int) string {
+	text := fmt.Sprintf("%s %q", kind, label(c.names[kind], index))
+	if at := c.set.Positions.find(joinPath(kind, index, "")); at != (Position{}) {
+		text += " (" + at.String() + ")"
+	}
+	return text
+}
+
+func (c *checker) sortedProblems() Problems {
+	slices.SortStableFunc(c.problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return c.problems
+}
+
+func (c *checker) checkNames() {
+	for _, kind := range Kinds() {
+		first := map[string]int{}
+		for i, name := range c.names[kind] {
+			if message := nameFault(name); message != "" {
+				c.report(kind, i, "name", "%s", message)
+				continue
+			}
+			if earlier, taken := first[name]; taken {
+				c.report(kind, i, "name", "name is already taken by %s", c.where(kind, earlier))
+				continue
+			}
+			first[name] = i
+		}
+	}
+}
+
+// nameFault returns what is wrong with a name, or "".
+func nameFault(name string) string {
+	switch {
+	case name == "":
+		return "name is missing"
+	case len(name) > maxNameLength:
+		return fmt.Sprintf("name has %d characters, at most %d are allowed", len(name), maxNameLength)
+	case !namePattern.MatchString(name):
+		return fmt.Sprintf("name %q may hold letters, digits, '.', '_' and '-' only and starts with a letter or a digit", name)
+	}
+	return ""
+}
+
+// checkList reports names in a list that are unknown or repeated.
+func (c *checker) checkList(kind Kind, index int, field string, list []string, known func(string) bool, of Kind) {
+	seen := map[string]bool{}
+	for i, name := range list {
+		at := fmt.Sprintf("%s[%d]", field, i)
+		if !known(name) {
+			c.report(kind, index, at, "%s %q does not exist", of, name)
+		}
+		if seen[name] {
+			c.report(kind, index, at, "%s %q is listed twice", of, name)
+		}
+		seen[name] = true
+	}
+}
+
+func (c *checker) hasService(name string) bool { return c.services[name] != nil }
+func (c *checker) hasVersion(name string) bool { return c.versions[name] != nil }
--- /dev/null
+++ b/object/codec.go
@@ -0,0 +1,186 @@
+package object
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"hash"
+	"slices"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/marjoramflow/marjoramflow/fault"
+)
+
+// Canonical returns a copy of the set with the objects of each kind in name
+// order and without positions. The objects themselves are shared.
+func (s *Set) Canonical() *Set {
+	return &Set{
+		Services:       sorted(s.Services),
+		Targets:        sorted(s.Targets),
+		Versions:       sorted(s.Versions),
+		Tiers:          sorted(s.Tiers),
+		ClientAccounts: sorted(s.ClientAccounts),
+		Moves:          sorted(s.Moves),
+	}
+}
+
+// sorted returns a copy in name order. It is never nil, so that an empty list
+// has one encoding.
+func sorted[T named](objects []T) []T {
+	out := append(make([]T, 0, len(objects)), objects...)
+	slices.SortStableFunc(out, func(a, b T) int {
+		return cmp.Compare(a.objectName(), b.objectName())
+	})
+	return out
+}
+
+// Encode returns the canonical JSON of the set: objects in name order. Sets
+// with the same objects have the same encoding.
+func (s *Set) Encode() ([]byte, error) {
+	data, err := json.Marshal(s.Canonical())
+	return data, fault.Wrap(err, "object.encode", "")
+}
+
+// DecodeSet reads the JSON of a set.
+func DecodeSet(data []byte) (*Set, error) {
+	var s Set
+	if err := json.Unmarshal(data, &s); err != nil {
+		return nil, fault.Wrap(err, "object.decode", "")
+	}
+	return &s, nil
+}
+
+// FormatYAML returns the set as a file that Parse reads.
+func (s *Set) FormatYAML() ([]byte, error) {
+	data, err := yaml.MarshalWithOptions(s.Canonical(), yaml.IndentSequence(false))
+	return data, fault.Wrap(err, "object.format", "")
+}
+
+// Digest returns the SHA-256 digest (hex) of the objects. It does not depend on
+// the order of the objects within a kind, on positions, or on the time zone in
+// which a deadline is written.
+func (s *Set) Digest() string {
+	h := sha256.New()
+	hashKind(h, KindService, s.Services)
+	hashKind(h, KindTarget, s.Targets)
+	hashKind(h, KindVersion, s.Versions)
+	hashKind(h, KindTier, s.Tiers)
+	hashKind(h, KindClientAccount, s.ClientAccounts)
+	hashKind(h, KindMove, s.Moves)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func hashKind[T named](h hash.Hash, kind Kind, objects []T) {
+	for _, o := range sorted(objects) {
+		_, _ = h.Write([]byte(kind))
+		_, _ = h.Write(encodeObject(o))
+		_, _ = h.Write([]byte{'\n'})
+	}
+}
+
+// encodeObject returns the JSON of an object. Numbers without a JSON form, which
+// Check reports, are encoded in Go syntax.
+func encodeObject[T named](o T) []byte {
+	data, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Appendf(nil, "%#v", o)
+	}
+	return data
+}
+
+// sameObject reports whether two objects have the same content.
+func sameObject[T named](a, b T) bool {
+	return bytes.Equal(encodeObject(a), encodeObject(b))
+}
+
+// jsonDuration is written with its unit, such as "1m30s", so that JSON output
+// can be edited and published again.
+type jsonDuration time.Duration
+
+func (d jsonDuration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+func (d *jsonDuration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	*d = jsonDuration(value)
+	return err
+}
+
+type plainRoute Route
+
+type routeJSON struct {
+	plainRoute
+	Timeout jsonDuration `json:"timeout,omitzero"`
+}
+
+// MarshalJSON writes durations with their unit.
+func (o Route) MarshalJSON() ([]byte, error) {
+	return json.Marshal(routeJSON{plainRoute(o), jsonDuration(o.Timeout)})
+}
+
+// UnmarshalJSON reads durations with their unit.
+func (o *Route) UnmarshalJSON(data []byte) error {
+	var v routeJSON
+	if err := json.Unmarshal(data, &v); err != nil {
+		return err
+	}
+	*o = Route(v.plainRoute)
+	o.Timeout = time.Duration(v.Timeout)
+	return nil
+}
+
+type plainTier Tier
+
+type tierJSON struct {
+	plainTier
+	FirstToken jsonDuration `json:"firstToken"`
+	Deadline   jsonDuration `json:"deadline"`
+}
+
+// MarshalJSON writes durations with their unit.
+func (o Tier) MarshalJSON() ([]byte, error) {
+	return json.Marshal(tierJSON{plainTier(o), jsonDuration(o.FirstToken), jsonDuration(o.Deadline)})
+}
+
+// UnmarshalJSON reads durations with their unit.
+func (o *Tier) UnmarshalJSON(data []byte) error {
+	var v tierJSON
+	if err := json.Unmarshal(data, &v); err != nil {
+		return err
+	}
+	*o = Tier(v.plainTier)
+	o.FirstToken = time.Duration(v.FirstToken)
+	o.Deadline = time.Duration(v.Deadline)
+	return nil
+}
+
+type plainMove Move
+
+type moveJSON struct {
+	plainMove
+	Deadline time.Time    `json:"deadline"`
+	Soak     jsonDuration `json:"soak,omitzero"`
+}
+
+// MarshalJSON writes durations with their unit and the deadline in UTC.
+func (o Move) MarshalJSON() ([]byte, error) {
+	return json.Marshal(moveJSON{plainMove(o), o.Deadline.UTC(), jsonDuration(o.Soak)})
+}
+
+// UnmarshalJSON reads durations with their unit.
+func (o *Move) UnmarshalJSON(data []byte) error {
+	var v moveJSON
+	if err := json.Unmarshal(data, &v); err != nil {
+		return err
+	}
+	*o = Move(v.plainMove)
+	o.Deadline = v.Deadline.UTC()
+	o.Soak = time.Duration(v.Soak)
+	return nil
+}
--- /dev/null
+++ b/object/delta.go
@@ -0,0 +1,118 @@
+package object
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/marjoramflow/marjoramflow/fault"
+)
+
+// ErrBaseMismatch is returned by Apply when the delta was made from another set.
+// The caller then needs the whole set.
+var ErrBaseMismatch = errors.New("delta does not fit this set")
+
+// Delta leads from one set to another. Its size follows the number of changed
+// objects, not the size of the sets. It is encoded as JSON.
+type Delta struct {
+	// From and To are the digests of the two sets.
+	From           string                   `json:"from"`
+	To             string                   `json:"to"`
+	Services       KindDelta[Service]       `json:"services,omitzero"`
+	Targets        KindDelta[Target]        `json:"targets,omitzero"`
+	Versions       KindDelta[Version]       `json:"versions,omitzero"`
+	Tiers          KindDelta[Tier]          `json:"tiers,omitzero"`
+	ClientAccounts KindDelta[ClientAccount] `json:"clientAccounts,omitzero"`
+	Moves          KindDelta[Move]          `json:"moves,omitzero"`
+}
+
+// KindDelta holds the changed objects of one kind.
+type KindDelta[T any] struct {
+	// Put holds added and changed objects, in name order.
+	Put []T `json:"put,omitempty"`
+	// Remove holds the names of removed objects, in order.
+	Remove []string `json:"remove,omitempty"`
+}
+
+// IsZero reports whether nothing changes.
+func (k KindDelta[T]) IsZero() bool {
+	return len(k.Put) == 0 && len(k.Remove) == 0
+}
+
+// MakeDelta returns the delta from a to b. It fails when a name appears twice
+// in one kind, which Check reports.
+func MakeDelta(a, b *Set) (*Delta, error) {
+	if err := errors.Join(uniqueNames(a), uniqueNames(b)); err != nil {
+		return nil, fault.Wrap(err, "object.delta", "")
+	}
+	return &Delta{
+		From:           a.Digest(),
+		To:             b.Digest(),
+		Services:       makeKind(a.Services, b.Services),
+		Targets:        makeKind(a.Targets, b.Targets),
+		Versions:       makeKind(a.Versions, b.Versions),
+		Tiers:          makeKind(a.Tiers, b.Tiers),
+		ClientAccounts: makeKind(a.ClientAccounts, b.ClientAccounts),
+		Moves:          makeKind(a.Moves, b.Moves),
+	}, nil
+}
+
+// Apply returns the set that the delta leads to, in canonical order, without
+// changing s. It returns an error that wraps ErrBaseMismatch when the result
+// does not have the digest To. The result shares objects with s and the delta.
+func (d *Delta) Apply(s *Set) (*Set, error) {
+	out := &Set{
+		Services:       applyKind(d.Services, s.Services),
+		Targets:        applyKind(d.Targets, s.Targets),
+		Versions:       applyKind(d.Versions, s.Versions),
+		Tiers:          applyKind(d.Tiers, s.Tiers),
+		ClientAccounts: applyKind(d.ClientAccounts, s.ClientAccounts),
+		Moves:          applyKind(d.Moves, s.Moves),
+	}
+	if out.Digest() != d.To {
+		return nil, fault.Wrap(ErrBaseMismatch, "object.apply", "")
+	}
+	return out, nil
+}
+
+func uniqueNames(s *Set) error {
+	for kind, names := range s.allNames() {
+		seen := make(map[string]bool, len(names))
+		for _, name := range names {
+			if seen[name] {
+				return fmt.Errorf("%s %q appears twice", kind, name)
+			}
+			seen[name] = true
+		}
+	}
+	return nil
+}
+
+func makeKind[T named](a, b []T) KindDelta[T] {
+	var k KindDelta[T]
+	walkPairs(a, b, func(before, after *T) {
+		switch {
+		case after == nil:
+			k.Remove = append(k.Remove, (*before).objectName())
+		case before == nil || !sameObject(*before, *after):
+			k.Put = append(k.Put, *after)
+		}
+	})
+	return k
+}
+
+func applyKind[T named](k KindDelta[T], objects []T) []T {
+	replaced := make(map[string]bool, len(k.Put)+len(k.Remove))
+	for _, o := range k.Put {
+		replaced[o.objectName()] = true
+	}
+	for _, name := range k.Remove {
+		replaced[name] = true
+	}
+	out := make([]T, 0, len(objects)+len(k.Put))
+	for _, o := range objects {
+		if !replaced[o.objectName()] {
+			out = append(out, o)
+		}
+	}
+	return sorted(append(out, k.Put...))
+}
--- /dev/null
+++ b/object/index.go
@@ -0,0 +1,237 @@
+package object
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+)
+
+// Index holds lookups over one generation of the configuration. It is built
+// once per generation; no lookup scans the set. An index and what it returns
+// are read-only, so that all methods are safe for concurrent use.
+type Index struct {
+	// Generation is the number of the configuration.
+	Generation uint64
+	// Set is the indexed set.
+	Set *Set
+
+	services  map[string]*Service
+	targets   map[string]*Target
+	versions  map[string]*Version
+	tiers     map[string]*Tier
+	accounts  map[string]*ClientAccount
+	moves     map[string]*Move
+	moveOf    map[string]*Move
+	byModel   map[string]*Service
+	byAddress map[string]*Target
+	byService map[string][]*Target
+	byPlace   map[place][]*Target
+	centres   map[string][]string
+	regions   map[string]string
+	tokens    map[[sha256.Size]byte]*ClientAccount
+	permitted map[string]map[string]bool
+	ranked    []*Tier
+	routes    routeTable
+	routesOf  map[string]routeTable
+}
+
+// place is a service in a data centre.
+type place struct {
+	service, dataCentre string
+}
+
+// NewIndex indexes a set that passes Check. The set must not change afterwards.
+func NewIndex(generation uint64, s *Set) *Index {
+	x := &Index{
+		Generation: generation,
+		Set:        s,
+		services:   byName(s.Services),
+		targets:    byName(s.Targets),
+		versions:   byName(s.Versions),
+		tiers:      byName(s.Tiers),
+		accounts:   byName(s.ClientAccounts),
+		moves:      byName(s.Moves),
+		moveOf:     make(map[string]*Move, len(s.Moves)),
+	}
+	for i := range s.Moves {
+		x.moveOf[s.Moves[i].Service] = &s.Moves[i]
+	}
+	x.indexTargets()
+	x.indexModels()
+	x.indexAccounts()
+	x.ranked = pointers(s.Tiers)
+	slices.SortStableFunc(x.ranked, func(a, b *Tier) int { return cmp.Compare(a.Rank, b.Rank) })
+	x.routes = newRouteTable(s.Services)
+	x.routesOf = make(map[string]routeTable, len(s.Services))
+	for i := range s.Services {
+		x.routesOf[s.Services[i].Name] = newRouteTable(s.Services[i : i+1])
+	}
+	return x
+}
+
+func (x *Index) indexTargets() {
+	x.byAddress = make(map[string]*Target, len(x.Set.Targets))
+	x.byService = map[string][]*Target{}
+	x.byPlace = map[place][]*Target{}
+	x.centres = map[string][]string{}
+	x.regions = map[string]string{}
+	targets := pointers(x.Set.Targets)
+	slices.SortStableFunc(targets, func(a, b *Target) int { return cmp.Compare(a.Name, b.Name) })
+	for _, t := range targets {
+		at := place{t.Service, t.DataCentre}
+		if len(x.byPlace[at]) == 0 {
+			x.centres[t.Service] = append(x.centres[t.Service], t.DataCentre)
+		}
+		x.byPlace[at] = append(x.byPlace[at], t)
+		x.byService[t.Service] = append(x.byService[t.Service], t)
+		x.byAddress[t.Address] = t
+		x.regions[t.DataCentre] = t.Region
+	}
+	for _, names := range x.centres {
+		slices.Sort(names)
+	}
+}
+
+// indexModels lets callers name a model service by its name or by the model of
+// one of its versions, unless two services have versions of that model.
+func (x *Index) indexModels() {
+	x.byModel = map[string]*Service{}
+	ambiguous := map[string]bool{}
+	for i := range x.Set.Versions {
+		v := &x.Set.Versions[i]
+		service := x.services[v.Service]
+		if v.Model == "" || service == nil {
+			continue
+		}
+		if other := x.byModel[v.Model]; other != nil && other != service {
+			ambiguous[v.Model] = true
+		}
+		x.byModel[v.Model] = service
+	}
+	maps.DeleteFunc(x.byModel, func(model string, _ *Service) bool { return ambiguous[model] })
+	for name, service := range x.services {
+		if service.Kind == ModelService {
+			x.byModel[name] = service
+		}
+	}
+}
+
+func (x *Index) indexAccounts() {
+	x.tokens = map[[sha256.Size]byte]*ClientAccount{}
+	x.permitted = map[string]map[string]bool{}
+	for i := range x.Set.ClientAccounts {
+		account := &x.Set.ClientAccounts[i]
+		for _, text := range account.TokenDigests {
+			digest, err := hex.DecodeString(text)
+			if err == nil && len(digest) == sha256.Size {
+				x.tokens[[sha256.Size]byte(digest)] = account
+			}
+		}
+		if len(account.Services) == 0 {
+			continue
+		}
+		permitted := make(map[string]bool, len(account.Services))
+		for _, name := range account.Services {
+			permitted[name] = true
+		}
+		x.permitted[account.Name] = permitted
+	}
+}
+
+func pointers[T any](objects []T) []*T {
+	out := make([]*T, len(objects))
+	for i := range objects {
+		out[i] = &objects[i]
+	}
+	return out
+}
+
+// Service returns a service by name, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
+
+// Target returns a target by name, or nil.
+func (x *Index) Target(name string) *Target { return x.targets[name] }
+
+// Version returns a version by name, or nil.
+func (x *Index) Version(name string) *Version { return x.versions[name] }
+
+// Tier returns a tier by name, or nil.
+func (x *Index) Tier(name string) *Tier { return x.tiers[name] }
+
+// ClientAccount returns a client account by name, or nil.
+func (x *Index) ClientAccount(name string) *ClientAccount { return x.accounts[name] }
+
+// Move returns a move by name, or nil.
+func (x *Index) Move(name string) *Move { return x.moves[name] }
+
+// MoveOf returns the move of a service, or nil.
+func (x *Index) MoveOf(service string) *Move { return x.moveOf[service] }
+
+// Tiers returns the tiers by rank, the highest tier first.
+func (x *Index) Tiers() []*Tier { return x.ranked }
+
+// TierOf returns the tier of a client account, or nil when account is nil.
+func (x *Index) TierOf(account *ClientAccount) *Tier {
+	if account == nil {
+		return nil
+	}
+	return x.tiers[account.Tier]
+}
+
+// TargetAt returns the target with an address (IP:port), or nil.
+func (x *Index) TargetAt(address string) *Target { return x.byAddress[address] }
+
+// TargetsOf returns all targets of a service in name order.
+func (x *Index) TargetsOf(service string) []*Target { return x.byService[service] }
+
+// TargetsIn returns the targets of a service in a data centre in name order.
+func (x *Index) TargetsIn(service, dataCentre string) []*Target {
+	return x.byPlace[place{service, dataCentre}]
+}
+
+// DataCentresOf returns the data centres with targets of a service, in order.
+func (x *Index) DataCentresOf(service string) []string { return x.centres[service] }
+
+// RegionOf returns the region of a data centre that holds targets, or "".
+func (x *Index) RegionOf(dataCentre string) string { return x.regions[dataCentre] }
+
+// ModelService returns the model service that a request's model names, by
+// service name or by model name, or nil.
+func (x *Index) ModelService(model string) *Service { return x.byModel[model] }
+
+// AccountByToken returns the client account of a bearer token, or nil. The
+// lookup is by digest, so its time says nothing about the listed tokens.
+func (x *Index) AccountByToken(token string) *ClientAccount {
+	return x.tokens[sha256.Sum256([]byte(token))]
+}
+
+// AccountByDigest returns the client account of the SHA-256 digest of a bearer
+// token, or nil.
+func (x *Index) AccountByDigest(digest [sha256.Size]byte) *ClientAccount {
+	return x.tokens[digest]
+}
+
+// Permits reports whether a client account may call a service.
+func (x *Index) Permits(account, service string) bool {
+	permitted, limited := x.permitted[account]
+	return !limited || permitted[service]
+}
+
+// Match returns the routes for a method and a path: the route whose path is
+// equal, or else the route with the longest prefix. Only model services share a
+// route; then there is one match per service, by service name.
+func (x *Index) Match(method, path string) []RouteMatch {
+	return x.routes.match(method, path)
+}
+
+// MatchService returns the route of one service for a method and a path, or nil.
+func (x *Index) MatchService(service, method, path string) *Route {
+	routes := x.routesOf[service]
+	matches := routes.match(method, path)
+	if len(matches) == 0 {
+		return nil
+	}
+	return matches[0].Route
+}
--- a/object/parse.go
+++ b/object/parse.go
@@ -1,16 +1,145 @@
 package object
 
 import (
-	"github.com/goccy/go-yaml"
+	"fmt"
+	"strconv"
+	"strings"
 
-	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/internal/yamldoc"
 )
 
-// Parse reads a set from YAML. Unknown fields are errors.
-func Parse(name string, data []byte) (*Set, error) {
-	var set Set
-	if err := yaml.UnmarshalWithOptions(data, &set, yaml.Strict()); err != nil {
-		return nil, fault.Wrap(err, "object.parse", name)
+// Parse reads the objects of one file. The name is used in positions only.
+// Unknown keys, values of the wrong type and missing units are problems. The
+// set holds what could be read even when there are problems, so that Check can
+// report further ones.
+func Parse(name string, data []byte) (*Set, Problems) {
+	set := &Set{}
+	result := yamldoc.Decode(data, set)
+	set.Positions = make(Positions, len(result.Positions))
+	for path, at := range result.Positions {
+		set.Positions[path] = Position{File: name, Line: at.Line, Column: at.Column}
 	}
-	return &set, nil
+	var problems Problems
+	names := set.allNames()
+	for _, issue := range result.Issues {
+		kind, object, field := resolve(issue.Path, names)
+		problems = append(problems, Problem{
+			Position: Position{File: name, Line: issue.Line, Column: issue.Column},
+			Kind:     kind,
+			Object:   object,
+			Field:    field,
+			Message:  issue.Message,
+		})
+	}
+	return set, problems
+}
+
+// File is one file of objects.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// ParseFiles parses, merges and checks files and returns all problems of all of
+// them. A value that cannot be read is reported once, although the rules see
+// its zero value.
+func ParseFiles(files ...File) (*Set, Problems) {
+	sets := make([]*Set, len(files))
+	var problems Problems
+	for i, file := range files {
+		var found Problems
+		sets[i], found = Parse(file.Name, file.Data)
+		problems = append(problems, found...)
+	}
+	type value struct {
+		file, field string
+		line        int
+	}
+	unread := map[value]bool{}
+	for _, p := range problems {
+		unread[value{p.File, p.Field, p.Line}] = true
+	}
+	merged := Merge(sets...)
+	for _, p := range merged.Check() {
+		if !unread[value{p.File, p.Field, p.Line}] {
+			problems = append(problems, p)
+		}
+	}
+	return merged, problems
+}
+
+// Merge joins sets that were read from several files. Objects that appear in
+// more than one of them are kept, so that Check reports them with their positions.
+func Merge(sets ...*Set) *Set {
+	merged := &Set{Positions: Positions{}}
+	for _, s := range sets {
+		merged.takePositions(s)
+		merged.Services = append(merged.Services, s.Services...)
+		merged.Targets = append(merged.Targets, s.Targets...)
+		merged.Versions = append(merged.Versions, s.Versions...)
+		merged.Tiers = append(merged.Tiers, s.Tiers...)
+		merged.ClientAccounts = append(merged.ClientAccounts, s.ClientAccounts...)
+		merged.Moves = append(merged.Moves, s.Moves...)
+	}
+	return merged
+}
+
+// takePositions copies the positions of s, shifted by the objects that the set
+// already holds.
+func (s *Set) takePositions(other *Set) {
+	held := s.allNames()
+	for path, position := range other.Positions {
+		kind, index, field, ok := splitPath(path)
+		if !ok {
+			continue
+		}
+		s.Positions[joinPath(kind, index+len(held[kind]), field)] = position
+	}
+}
+
+// resolve turns a path of a document into kind, object and field.
+func resolve(path string, names map[Kind][]string) (Kind, string, string) {
+	kind, index, field, ok := splitPath(path)
+	if !ok {
+		return "", "", path
+	}
+	return kind, label(names[kind], index), field
+}
+
+// label is the name of an object, or its place in the list when it has none.
+func label(names []string, index int) string {
+	if index < len(names) && names[index] != "" {
+		return names[index]
+	}
+	return "#" + strconv.Itoa(index+1)
+}
+
+// splitPath splits "targets[3].address" into its kind, index and field.
+func splitPath(path string) (kind Kind, index int, field string, ok bool) {
+	list, rest, found := strings.Cut(path, "[")
+	if !found {
+		return "", 0, "", false
+	}
+	number, rest, found := strings.Cut(rest, "]")
+	if !found {
+		return "", 0, "", false
+	}
+	index, err := strconv.Atoi(number)
+	if err != nil {
+		return "", 0, "", false
+	}
+	for _, k := range Kinds() {
+		if k.listKey() == list {
+			return k, index, strings.TrimPrefix(rest, "."), true
+		}
+	}
+	return "", 0, "", false
+}
+
+func joinPath(kind Kind, index int, field string) string {
+	path := fmt.Sprintf("%s[%d]", kind.listKey(), index)
+	if field != "" {
+		path += "." + field
+	}
+	return path
 }
--- /dev/null
+++ b/object/route.go
@@ -0,0 +1,68 @@
+package object
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// RouteMatch is a route together with its service.
+type RouteMatch struct {
+	Service *Service
+	Route   *Route
+}
+
+// call identifies the calls that one route takes.
+type call struct {
+	method, path string
+}
+
+// routeTable finds routes by method and path. Prefixes are looked up by each
+// length that occurs in the set, so the cost of a match depends on the set and
+// not on the number of segments in a caller's path.
+type routeTable struct {
+	exact    map[call][]RouteMatch
+	prefixes map[call][]RouteMatch
+	// lengths are the lengths of all prefixes, the longest first.
+	lengths []int
+}
+
+func newRouteTable(services []Service) routeTable {
+	t := routeTable{exact: map[call][]RouteMatch{}, prefixes: map[call][]RouteMatch{}}
+	ordered := pointers(services)
+	slices.SortStableFunc(ordered, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+	for _, service := range ordered {
+		routes := service.AllRoutes()
+		for i := range routes {
+			t.add(RouteMatch{Service: service, Route: &routes[i]})
+		}
+	}
+	slices.SortFunc(t.lengths, func(a, b int) int { return cmp.Compare(b, a) })
+	t.lengths = slices.Compact(t.lengths)
+	return t
+}
+
+func (t *routeTable) add(m RouteMatch) {
+	key := call{m.Route.Method, m.Route.Path}
+	if !strings.HasSuffix(key.path, "/") {
+		t.exact[key] = append(t.exact[key], m)
+		return
+	}
+	t.prefixes[key] = append(t.prefixes[key], m)
+	t.lengths = append(t.lengths, len(key.path))
+}
+
+func (t *routeTable) match(method, path string) []RouteMatch {
+	if matches := t.exact[call{method, path}]; matches != nil {
+		return matches
+	}
+	for _, length := range t.lengths {
+		if length > len(path) || path[length-1] != '/' {
+			continue
+		}
+		if matches := t.prefixes[call{method, path[:length]}]; matches != nil {
+			return matches
+		}
+	}
+	return nil
+}
--- a/object/types.go
+++ b/object/types.go
@@ -11,11 +11,22 @@
 	Tiers          []Tier          `json:"tiers" yaml:"tiers"`
 	ClientAccounts []ClientAccount `json:"clientAccounts" yaml:"clientAccounts"`
 	Moves          []Move          `json:"moves" yaml:"moves"`
+
+	// Positions says where the objects were read from. It is not part of the
+	// content: it is neither encoded nor compared, and may be nil.
+	Positions Positions `json:"-" yaml:"-"`
 }
 
 // ServiceKind says which protocol the targets of a service speak.
 type ServiceKind string
 
+// Calls of a model service that names no routes.
+const (
+	DefaultModelRoute  = "chat"
+	DefaultModelMethod = "POST"
+	DefaultModelPath   = "/v1/chat/completions"
+)
+
 const (
 	// ModelService is served by LLM engines: chat completions with SSE.
 	ModelService ServiceKind = "model"
@@ -34,6 +45,21 @@
 	Routes []Route `json:"routes,omitempty" yaml:"routes,omitempty"`
 }
 
+// AllRoutes returns the routes of the service, or the default route of a model
+// service that names none. A model call may be retried: its answer is a stream
+// that resumes, and it changes no state.
+func (o *Service) AllRoutes() []Route {
+	if o.Kind != ModelService || len(o.Routes) > 0 {
+		return o.Routes
+	}
+	return []Route{{
+		Name:       DefaultModelRoute,
+		Method:     DefaultModelMethod,
+		Path:       DefaultModelPath,
+		Idempotent: true,
+	}}
+}
+
 // Route is one call of a service.
 type Route struct {
 	Name   string `json:"name" yaml:"name"`
@@ -61,9 +87,12 @@
 	// KVTokens is the size of the engine's KV cache in tokens; 0 for plain services.
 	KVTokens int `json:"kvTokens,omitempty" yaml:"kvTokens,omitempty"`
 	// Versions are the versions that the target can serve.
-	Versions []string `json:"versions" yaml:"versions"`
+	Versions []string `json:"versions,omitempty" yaml:"versions"`
 	// ChecksFencing says that the target refuses orders with an old fencing number.
 	ChecksFencing bool `json:"checksFencing" yaml:"checksFencing"`
+	// Leaving stops new work for the target; requests in flight finish. The
+	// administration API sets it on drain and clears it on undrain.
+	Leaving bool `json:"leaving,omitempty" yaml:"leaving,omitempty"`
 }
 
 // Version is one release of a service's back end.
