--- /dev/null
+++ b/settings/secret.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+)
+
+// hiddenText stands for a secret wherever values are printed.
+const hiddenText = "<hidden>"
+
+// Secret is text that must not appear in logs, dumps or error messages. All
+// ways to print or encode it show a placeholder; Reveal returns the text.
+type Secret struct {
+	text string
+}
+
+// NewSecret returns text as a secret.
+func NewSecret(text string) Secret {
+	return Secret{text: text}
+}
+
+// Reveal returns the text of the secret. Callers compare it in constant time
+// and pass it to no logger.
+func (s Secret) Reveal() string {
+	return s.text
+}
+
+// Format writes a placeholder for every verb. Without it, verbs that fmt does
+// not pass to String, such as %d, would print the text.
+func (s Secret) Format(state fmt.State, _ rune) {
+	_, _ = io.WriteString(state, hiddenText)
+}
+
+// String returns a placeholder.
+func (s Secret) String() string {
+	return hiddenText
+}
+
+// MarshalText returns a placeholder, for YAML and JSON.
+func (s Secret) MarshalText() ([]byte, error) {
+	return []byte(hiddenText), nil
+}
+
+// UnmarshalText reads the text of the secret.
+func (s *Secret) UnmarshalText(text []byte) error {
+	s.text = string(text)
+	return nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,12 +5,16 @@
 package settings
 
 import (
+	"errors"
+	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/goccy/go-yaml"
 
 	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/internal/yamldoc"
 )
 
 // Settings are the static settings of one daemon.
@@ -56,8 +60,8 @@
 // Tokens are bearer tokens, by operator name and by client account name. They
 // never appear in logs or dumps.
 type Tokens struct {
-	Operators map[string]string `yaml:"operators"`
-	Callers   map[string]string `yaml:"callers"`
+	Operators map[string]Secret `yaml:"operators"`
+	Callers   map[string]Secret `yaml:"callers"`
 }
 
 // Limits bound what one caller connection or one stop may take.
@@ -107,15 +111,45 @@
 	}
 }
 
-// Load reads settings from a file and fills in defaults. Unknown keys are errors.
+// Load reads settings from a file, fills in defaults and checks them. Unknown
+// keys, bad units and all faults that Check finds are returned together, as an
+// error that wraps Problems.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fault.Wrap(err, "settings.read", path)
 	}
+	s, err := Parse(path, data)
+	return s, fault.Wrap(err, "settings.check", path)
+}
+
+// Parse reads settings like Load does. The name of the file is used in messages.
+func Parse(name string, data []byte) (*Settings, error) {
 	s := Default()
-	if err := yaml.UnmarshalWithOptions(data, s, yaml.Strict()); err != nil {
-		return nil, fault.Wrap(err, "settings.parse", path)
+	result := yamldoc.Decode(data, s)
+	var problems Problems
+	unread := map[string]bool{}
+	for _, issue := range result.Issues {
+		unread[issue.Path] = true
+		problems = append(problems, Problem{File: name, Line: issue.Line, Key: issue.Path, Message: issue.Message})
+	}
+	var found Problems
+	if errors.As(s.Check(), &found) {
+		found = slices.DeleteFunc(found, func(p Problem) bool { return unread[p.Key] })
+		problems = append(problems, found.withPositions(name, result.Positions)...)
+	}
+	if len(problems) > 0 {
+		return nil, problems
 	}
 	return s, nil
 }
+
+// Dump writes the settings as YAML with the secrets hidden.
+func (s *Settings) Dump(w io.Writer) error {
+	data, err := yaml.Marshal(s)
+	if err != nil {
+		return fault.Wrap(err, "settings.dump", "")
+	}
+	_, err = w.Write(data)
+	return fault.Wrap(err, "settings.dump", "")
+}
