--- a/bench/cmd/marjorambench/main.go
+++ b/bench/cmd/marjorambench/main.go
@@ -2,4 +2,16 @@
 // measurements. It is a tool of the developers and is not shipped.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/marjoramflow/marjoramflow/bench/internal/cli"
+)
+
+func main() {
+	if err := cli.Root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "marjorambench:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/bench/standin/faults/faults.go
@@ -0,0 +1,107 @@
+// Package faults holds the fault switches of the stand-in servers. Tests and
+// experiments set them in process or by PUT /v1/faults.
+package faults
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Switches are the faults of one stand-in server. The zero value is a server
+// without faults.
+type Switches struct {
+	// Slow multiplies all processing times; values up to 1 have no effect.
+	Slow float64 `json:"slow,omitempty"`
+	// Down refuses every call with 503.
+	Down bool `json:"down,omitempty"`
+	// DropAnswers is the share of calls whose effect takes place and whose
+	// connection is then closed without an answer.
+	DropAnswers float64 `json:"dropAnswers,omitempty"`
+	// DropCalls is the share of calls whose connection is closed before any effect.
+	DropCalls float64 `json:"dropCalls,omitempty"`
+	// Freeze keeps connections open without sending another byte.
+	Freeze bool `json:"freeze,omitempty"`
+	// Delay is added to every call.
+	Delay time.Duration `json:"delay,omitempty"`
+	// CrashMark makes the server crash on a request whose body contains it.
+	CrashMark string `json:"crashMark,omitempty"`
+	// CutAfterTokens closes a stream after so many tokens; 0 is never.
+	CutAfterTokens int `json:"cutAfterTokens,omitempty"`
+	// CrossFrames inserts frames of another request into each stream.
+	CrossFrames bool `json:"crossFrames,omitempty"`
+	// IgnoreFencing accepts orders with an old fencing number.
+	IgnoreFencing bool `json:"ignoreFencing,omitempty"`
+	// Leaving makes the health answer say that the server is leaving.
+	Leaving bool `json:"leaving,omitempty"`
+	// Versions holds faults of single versions, by version name.
+	Versions map[string]VersionFault `json:"versions,omitempty"`
+}
+
+// VersionFault makes one version bad.
+type VersionFault struct {
+	// FailShare is the share of requests answered with status 500.
+	FailShare float64 `json:"failShare,omitempty"`
+	// Slow multiplies processing times.
+	Slow float64 `json:"slow,omitempty"`
+	// AboveRunning limits the fault to times with more running requests.
+	AboveRunning int `json:"aboveRunning,omitempty"`
+	// Route limits the fault to one path.
+	Route string `json:"route,omitempty"`
+}
+
+// Applies says whether the fault is active with so many running requests and on
+// this path.
+func (v VersionFault) Applies(running int, path string) bool {
+	if running <= v.AboveRunning && v.AboveRunning > 0 {
+		return false
+	}
+	return v.Route == "" || v.Route == path
+}
+
+// Version returns the active fault of a version; the zero value when there is none.
+func (s Switches) Version(name string, running int, path string) VersionFault {
+	fault := s.Versions[name]
+	if !fault.Applies(running, path) {
+		return VersionFault{}
+	}
+	return fault
+}
+
+// Box holds switches that change while a server runs. It is safe for
+// concurrent use.
+type Box struct {
+	mu  sync.RWMutex
+	now Switches
+}
+
+// Get returns the switches in force.
+func (b *Box) Get() Switches {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.now
+}
+
+// Set replaces the switches.
+func (b *Box) Set(s Switches) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.now = s
+}
+
+// ServeHTTP answers PUT with the switches to set.
+func (b *Box) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var s Switches
+	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b.Set(s)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Abort closes the connection of a call without an answer.
+func Abort() {
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/bench/standin/platformserver/server.go
@@ -0,0 +1,269 @@
+// Package platformserver is a stand-in for the platform's table service, object
+// store, weight store and VM list. It speaks the protocol that package
+// provider/httpplatform documents, keeps everything in memory and has fault
+// switches per service.
+package platformserver
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/bench/standin/faults"
+	"github.com/marjoramflow/marjoramflow/platform"
+)
+
+// Server is the stand-in. Create it with New; it is safe for concurrent use.
+type Server struct {
+	// Faults apply to the table service and the object store.
+	Faults faults.Box
+
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	vms     []platform.VM
+	version uint64
+	weights weightBucket
+
+	reads  atomic.Int64
+	writes atomic.Int64
+}
+
+// weightBucket paces weight loading by bytes.
+type weightBucket struct {
+	bytesPerSecond float64
+	freeAt         time.Time
+}
+
+// New returns an empty platform whose weight store sends bytesPerSecond.
+func New(bytesPerSecond float64) *Server {
+	return &Server{
+		rows:    make(map[string]platform.Row),
+		objects: make(map[string][]byte),
+		weights: weightBucket{bytesPerSecond: bytesPerSecond},
+	}
+}
+
+// Counts returns the reads and writes served so far.
+func (s *Server) Counts() (reads, writes int64) {
+	return s.reads.Load(), s.writes.Load()
+}
+
+// SetVMs replaces the VM list.
+func (s *Server) SetVMs(vms []platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = slices.Clone(vms)
+}
+
+// Handler returns the HTTP interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/rows:get", s.faulty(s.get))
+	mux.HandleFunc("POST /v1/rows:list", s.faulty(s.list))
+	mux.HandleFunc("POST /v1/rows:commit", s.faulty(s.commit))
+	mux.HandleFunc("PUT /v1/objects/{name}", s.faulty(s.putObject))
+	mux.HandleFunc("GET /v1/objects/{name}", s.faulty(s.getObject))
+	mux.HandleFunc("POST /v1/weights:reserve", s.reserve)
+	mux.HandleFunc("GET /v1/vms", s.listVMs)
+	mux.HandleFunc("PUT /v1/vms", s.putVMs)
+	mux.HandleFunc("GET /v1/counts", s.counts)
+	mux.Handle("PUT /v1/faults", &s.Faults)
+	return mux
+}
+
+// answer is the status and body of one call.
+type answer struct {
+	status int
+	body   any
+	raw    []byte
+}
+
+// faulty applies the switches around a call.
+func (s *Server) faulty(call func(*http.Request) answer) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f := s.Faults.Get()
+		if f.Down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if f.Freeze {
+			<-r.Context().Done()
+			return
+		}
+		if rand.Float64() < f.DropCalls {
+			faults.Abort()
+		}
+		time.Sleep(f.Delay)
+		a := call(r)
+		if rand.Float64() < f.DropAnswers {
+			faults.Abort()
+		}
+		a.write(w)
+	}
+}
+
+func (a answer) write(w http.ResponseWriter) {
+	if a.raw != nil {
+		w.WriteHeader(a.status)
+		_, _ = w.Write(a.raw)
+		return
+	}
+	if a.body == nil {
+		w.WriteHeader(a.status)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(a.status)
+	_ = json.NewEncoder(w).Encode(a.body)
+}
+
+func badRequest(err error) answer {
+	return answer{status: http.StatusBadRequest, raw: []byte(err.Error())}
+}
+
+func (s *Server) get(r *http.Request) answer {
+	var in struct{ Keys []string }
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		return badRequest(err)
+	}
+	s.reads.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := make([]platform.Row, len(in.Keys))
+	for i, key := range in.Keys {
+		rows[i] = s.rows[key]
+		rows[i].Key = key
+	}
+	return answer{status: http.StatusOK, body: map[string]any{"rows": rows}}
+}
+
+func (s *Server) list(r *http.Request) answer {
+	var in struct {
+		Prefix string
+		Limit  int
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		return badRequest(err)
+	}
+	s.reads.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := []platform.Row{}
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, in.Prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	if in.Limit > 0 && len(rows) > in.Limit {
+		rows = rows[:in.Limit]
+	}
+	return answer{status: http.StatusOK, body: map[string]any{"rows": rows}}
+}
+
+func (s *Server) commit(r *http.Request) answer {
+	var in struct{ Writes []platform.Write }
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		return badRequest(err)
+	}
+	s.writes.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conflicts := []string{}
+	for _, w := range in.Writes {
+		if !w.Unconditional && s.rows[w.Key].Version != w.IfVersion {
+			conflicts = append(conflicts, w.Key)
+		}
+	}
+	if len(conflicts) > 0 {
+		return answer{status: http.StatusConflict, body: map[string]any{"keys": conflicts}}
+	}
+	for _, w := range in.Writes {
+		s.apply(w)
+	}
+	return answer{status: http.StatusNoContent}
+}
+
+// apply performs one write. Versions rise over all rows, so that a row that was
+// deleted and inserted again never has an earlier version.
+func (s *Server) apply(w platform.Write) {
+	if w.Delete {
+		delete(s.rows, w.Key)
+		return
+	}
+	s.version++
+	s.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: s.version}
+}
+
+func (s *Server) putObject(r *http.Request) answer {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return badRequest(err)
+	}
+	s.writes.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[r.PathValue("name")] = data
+	return answer{status: http.StatusNoContent}
+}
+
+func (s *Server) getObject(r *http.Request) answer {
+	s.reads.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[r.PathValue("name")]
+	if !ok {
+		return answer{status: http.StatusNotFound}
+	}
+	return answer{status: http.StatusOK, raw: data}
+}
+
+func (s *Server) reserve(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Version string
+		Bytes   int64
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		badRequest(err).write(w)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	wait := s.weights.freeAt.Sub(now)
+	if wait <= 0 {
+		wait = 0
+		seconds := float64(in.Bytes) / s.weights.bytesPerSecond
+		s.weights.freeAt = now.Add(time.Duration(seconds * float64(time.Second)))
+	}
+	answer{status: http.StatusOK, body: map[string]any{"waitMs": wait.Milliseconds()}}.write(w)
+}
+
+func (s *Server) listVMs(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	vms := slices.Clone(s.vms)
+	s.mu.Unlock()
+	answer{status: http.StatusOK, body: map[string]any{"vms": vms}}.write(w)
+}
+
+func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
+	var in struct{ VMs []platform.VM }
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		badRequest(err).write(w)
+		return
+	}
+	s.SetVMs(in.VMs)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) counts(w http.ResponseWriter, _ *http.Request) {
+	reads, writes := s.Counts()
+	answer{status: http.StatusOK, body: map[string]any{"reads": reads, "writes": writes}}.write(w)
+}
--- /dev/null
+++ b/daemon/places.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/topology"
+)
+
+// places holds the topologies that follow from the configuration in force and
+// the live daemons. Reads take no lock; changes are made by one goroutine at a
+// time.
+type places struct {
+	dataCentre string
+	region     string
+
+	mu       sync.Mutex
+	index    *object.Index
+	live     map[string][]string
+	snapshot atomic.Pointer[placesSnapshot]
+}
+
+type placesSnapshot struct {
+	index  *object.Index
+	local  *topology.Topology
+	nearby []*topology.Topology
+	far    []*topology.Topology
+}
+
+func newPlaces(dataCentre, region string) *places {
+	p := &places{dataCentre: dataCentre, region: region, live: make(map[string][]string)}
+	p.snapshot.Store(&placesSnapshot{local: &topology.Topology{DataCentre: dataCentre}})
+	return p
+}
+
+// setIndex installs a configuration.
+func (p *places) setIndex(index *object.Index) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.index = index
+	p.rebuild(nil)
+}
+
+// setLive installs the live daemons of a data centre and says whether they changed.
+func (p *places) setLive(dataCentre string, daemons []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Equal(p.live[dataCentre], daemons) {
+		return false
+	}
+	p.live[dataCentre] = daemons
+	p.rebuild(&dataCentre)
+	return true
+}
+
+// rebuild derives the topologies; with only set, those of other data centres are
+// kept.
+func (p *places) rebuild(only *string) {
+	if p.index == nil {
+		return
+	}
+	old := p.snapshot.Load()
+	next := &placesSnapshot{index: p.index}
+	for dataCentre, region := range p.regions() {
+		t := old.find(dataCentre)
+		if only == nil || *only == dataCentre || t == nil {
+			t = topology.Build(p.index, dataCentre, p.live[dataCentre])
+		}
+		switch {
+		case dataCentre == p.dataCentre:
+			next.local = t
+		case region == p.region:
+			next.nearby = append(next.nearby, t)
+		default:
+			next.far = append(next.far, t)
+		}
+	}
+	sortPlaces(next.nearby)
+	sortPlaces(next.far)
+	p.snapshot.Store(next)
+}
+
+// regions returns the region of each data centre that has targets, and of the
+// own one.
+func (p *places) regions() map[string]string {
+	out := map[string]string{p.dataCentre: p.region}
+	for i := range p.index.Set.Targets {
+		t := &p.index.Set.Targets[i]
+		out[t.DataCentre] = t.Region
+	}
+	return out
+}
+
+func sortPlaces(list []*topology.Topology) {
+	slices.SortFunc(list, func(a, b *topology.Topology) int {
+		if a.DataCentre < b.DataCentre {
+			return -1
+		}
+		return 1
+	})
+}
+
+func (s *placesSnapshot) find(dataCentre string) *topology.Topology {
+	if s.local != nil && s.local.DataCentre == dataCentre {
+		return s.local
+	}
+	for _, t := range append(slices.Clone(s.nearby), s.far...) {
+		if t.DataCentre == dataCentre {
+			return t
+		}
+	}
+	return nil
+}
+
+// Index returns the configuration in force, or nil before the first.
+func (p *places) Index() *object.Index {
+	return p.snapshot.Load().index
+}
+
+// Local implements grants.Places.
+func (p *places) Local() *topology.Topology {
+	return p.snapshot.Load().local
+}
+
+// Nearby implements grants.Places.
+func (p *places) Nearby() []*topology.Topology {
+	return p.snapshot.Load().nearby
+}
+
+// Far implements grants.Places.
+func (p *places) Far() []*topology.Topology {
+	return p.snapshot.Load().far
+}
+
+// Target implements grants.Places.
+func (p *places) Target(name string) *object.Target {
+	index := p.Index()
+	if index == nil {
+		return nil
+	}
+	return index.Target(name)
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,163 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/attempt"
+	"github.com/marjoramflow/marjoramflow/fault"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// idleTimeout closes pooled connections before a stateful middlebox on the
+	// way forgets them and they go silent.
+	idleTimeout = 15 * time.Second
+	// maxIdlePerTarget bounds pooled connections to one target.
+	maxIdlePerTarget = 64
+	// maxErrorBytes bounds what is read of an error answer.
+	maxErrorBytes = 4 << 10
+)
+
+// RequestIDHeader carries the attempt's id to targets.
+const RequestIDHeader = "X-Request-Id"
+
+// Client speaks to engines. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+	// dropped counts frames that belonged to another attempt.
+	dropped atomic.Int64
+}
+
+// NewClient returns a client with its own connection pool.
+func NewClient() *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: maxIdlePerTarget,
+		DisableCompression:  true,
+	}
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// DroppedFrames returns the number of frames that named another attempt.
+func (c *Client) DroppedFrames() int64 {
+	return c.dropped.Load()
+}
+
+// Call is one attempt to run a chat completion.
+type Call struct {
+	// ID is unique per attempt; the engine repeats it on every frame.
+	ID string
+	// Target is the target's name, Address its host:port.
+	Target  string
+	Address string
+	// Model is the engine's name of the version.
+	Model string
+	// Body is the caller's JSON object; model, stream and resume_from are replaced.
+	Body map[string]json.RawMessage
+	// ResumeFrom is the index of the first token wanted.
+	ResumeFrom int
+	// FirstTimeout bounds the wait for the first frame, GapTimeout the wait for
+	// each further one.
+	FirstTimeout time.Duration
+	GapTimeout   time.Duration
+}
+
+// Stream starts the call. It returns *attempt.Error on failure. The stream must
+// be closed.
+func (c *Client) Stream(ctx context.Context, call *Call) (*Stream, error) {
+	body, err := call.encode()
+	if err != nil {
+		return nil, fault.Wrap(err, "engine.encode", call.Target)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	watchdog := time.AfterFunc(call.FirstTimeout, func() { cancel(errStalled) })
+	resp, err := c.post(ctx, call, body)
+	if err != nil {
+		watchdog.Stop()
+		cancel(nil)
+		return nil, err
+	}
+	return newStream(ctx, cancel, watchdog, c, call, resp), nil
+}
+
+// errStalled is the cancellation cause of the progress watchdog.
+var errStalled = errors.New("no progress within the timeout")
+
+// post sends the request and maps failures to *attempt.Error.
+func (c *Client) post(ctx context.Context, call *Call, body []byte) (*http.Response, error) {
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	url := "http://" + call.Address + "/v1/chat/completions"
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, fault.Wrap(err, "engine.request", call.Target)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(RequestIDHeader, call.ID)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, call.fail(c.kindOfSendError(ctx, connected), 0, err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	return nil, call.fail(kindOfStatus(resp.StatusCode), resp.StatusCode, fmt.Errorf("%.200s", text))
+}
+
+// kindOfSendError tells a stalled attempt from a canceled one and a connection
+// that was never made from one that broke.
+func (c *Client) kindOfSendError(ctx context.Context, connected bool) attempt.Kind {
+	switch {
+	case errors.Is(context.Cause(ctx), errStalled) && connected:
+		return attempt.Stalled
+	case !connected:
+		return attempt.NotSent
+	case ctx.Err() != nil:
+		return attempt.Canceled
+	}
+	return attempt.MaybeSent
+}
+
+// kindOfStatus maps an error status. Engines answer 4xx and 503 before they
+// admit a request.
+func kindOfStatus(status int) attempt.Kind {
+	if status < http.StatusInternalServerError || status == http.StatusServiceUnavailable {
+		return attempt.Refused
+	}
+	return attempt.Failed
+}
+
+func (call *Call) fail(kind attempt.Kind, status int, err error) error {
+	return &attempt.Error{Kind: kind, Target: call.Target, Status: status, Err: fault.Wrap(err, "engine.call", call.Target)}
+}
+
+// encode builds the engine's request body from the caller's.
+func (call *Call) encode() ([]byte, error) {
+	out := make(map[string]json.RawMessage, len(call.Body)+3)
+	for key, value := range call.Body {
+		out[key] = value
+	}
+	model, err := json.Marshal(call.Model)
+	if err != nil {
+		return nil, err
+	}
+	out["model"] = model
+	out["stream"] = json.RawMessage("true")
+	if call.ResumeFrom > 0 {
+		out["resume_from"] = json.RawMessage(fmt.Sprint(call.ResumeFrom))
+	}
+	return json.Marshal(out)
+}
--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,283 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/attempt"
+	"github.com/marjoramflow/marjoramflow/engine"
+	"github.com/marjoramflow/marjoramflow/object"
+)
+
+// ChatRequest is a chat completion of an authenticated caller.
+type ChatRequest struct {
+	ID      string
+	Caller  Caller
+	Service *object.Service
+	// Model maps a version to the engine's model name.
+	Model        func(version string) string
+	Route        string
+	Body         map[string]json.RawMessage
+	Fingerprint  uint64
+	Prefix       []uint64
+	PromptTokens int
+	// OutputTokens is the expected length of the answer.
+	OutputTokens int
+	Deadline     time.Time
+}
+
+// Sink takes the answer. Frame is called once per token, in order, without gaps
+// or repetitions; its error means that the caller has gone.
+type Sink interface {
+	Frame(*engine.Frame) error
+}
+
+// errPreempted is the cancellation cause of an attempt whose grant was taken back.
+var errPreempted = errors.New("grant was preempted")
+
+// chat is the state of one request between attempts.
+type chat struct {
+	entry    *Entry
+	request  *ChatRequest
+	sink     Sink
+	version  string
+	suspect  bool
+	exclude  []string
+	next     int
+	finished bool
+	gone     error
+	// attempts counts attempts of every kind, failures those that failed.
+	attempts int
+	failures int
+}
+
+// Chat runs a request to its end. It returns nil when the whole answer went to
+// the sink, and a *Refusal otherwise; frames may have gone to the sink before.
+func (e *Entry) Chat(ctx context.Context, r *ChatRequest, sink Sink) error {
+	suspect, err := e.checkQuarantine(r.Fingerprint)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	e.Retries.Request(r.Service.Name)
+	c := &chat{entry: e, request: r, sink: sink, suspect: suspect, version: e.Versions.Pick(r.Service)}
+	return c.runToEnd(ctx)
+}
+
+// runToEnd reserves and runs attempts until the answer is whole or the request
+// fails.
+func (c *chat) runToEnd(ctx context.Context) error {
+	grant, err := c.entry.Grants.Reserve(ctx, c.need())
+	for err == nil {
+		report, runErr := c.run(ctx, grant)
+		if errors.Is(runErr, errPreempted) {
+			c.attempts++
+			grant, err = c.entry.Grants.Requeue(ctx, grant, report)
+			continue
+		}
+		c.entry.Grants.Release(grant, report)
+		if runErr == nil {
+			c.entry.Suspects.Finished(c.request.Fingerprint)
+			return nil
+		}
+		again, failure := c.afterFailure(ctx, grant, runErr)
+		if !again {
+			return failure
+		}
+		grant, err = c.entry.Grants.Reserve(ctx, c.need())
+	}
+	return c.afterReserve(err)
+}
+
+func (c *chat) need() Need {
+	r := c.request
+	return Need{
+		ID:           attemptID(r.ID, c.failures),
+		Service:      r.Service.Name,
+		Version:      c.version,
+		Account:      r.Caller.Account.Name,
+		Tier:         r.Caller.Tier.Rank,
+		PromptTokens: r.PromptTokens + c.next,
+		OutputTokens: max(1, r.OutputTokens-c.next),
+		Deadline:     r.Deadline,
+		Preemptible:  true,
+		Suspect:      c.suspect,
+		Fingerprint:  r.Fingerprint,
+		Prefix:       r.Prefix,
+		Exclude:      c.exclude,
+	}
+}
+
+// afterReserve turns a refused reservation into the caller's refusal.
+func (c *chat) afterReserve(err error) error {
+	refusal := AsRefusal(err)
+	if c.attempts > 0 {
+		refusal.Outcome = Unknown
+	}
+	return refusal
+}
+
+// run streams one attempt to the sink.
+func (c *chat) run(ctx context.Context, grant *Grant) (Report, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := c.watchPreemption(ctx, cancel, grant)
+	defer stop()
+	started := time.Now()
+	report := Report{PromptTokens: c.request.PromptTokens}
+	err := c.stream(ctx, grant, &report, started)
+	report.Duration = time.Since(started)
+	report.Result = resultOf(ctx, err)
+	if c.gone == nil && report.Result != ResultPreempted {
+		c.observe(grant, &report, err)
+	}
+	if errors.Is(context.Cause(ctx), errPreempted) && err != nil {
+		return report, errPreempted
+	}
+	return report, err
+}
+
+// watchPreemption cancels the attempt when the grant is taken back.
+func (c *chat) watchPreemption(ctx context.Context, cancel context.CancelCauseFunc, grant *Grant) func() {
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-grant.Preempted:
+			cancel(errPreempted)
+		case <-ctx.Done():
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
+func (c *chat) stream(ctx context.Context, grant *Grant, report *Report, started time.Time) error {
+	s, err := c.entry.Engines.Stream(ctx, c.call(grant))
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		frame, err := s.Next()
+		if frame == nil {
+			return err
+		}
+		if report.FirstToken == 0 {
+			report.FirstToken = time.Since(started)
+		}
+		if err := c.deliver(frame, report); err != nil {
+			return err
+		}
+	}
+}
+
+// deliver hands a frame to the sink. A sink error means that the caller has gone.
+func (c *chat) deliver(frame *engine.Frame, report *Report) error {
+	if frame.Usage != nil {
+		report.PromptTokens = frame.Usage.PromptTokens
+		report.CachedTokens = frame.Usage.CachedTokens
+	}
+	if err := c.sink.Frame(frame); err != nil {
+		c.gone = err
+		return err
+	}
+	if frame.Last {
+		c.finished = true
+		return nil
+	}
+	c.next = frame.Index + 1
+	report.OutputTokens++
+	return nil
+}
+
+func (c *chat) call(grant *Grant) *engine.Call {
+	return &engine.Call{
+		ID:           attemptID(c.request.ID, c.attempts),
+		Target:       grant.Target.Name,
+		Address:      grant.Target.Address,
+		Model:        c.request.Model(c.version),
+		Body:         c.request.Body,
+		ResumeFrom:   c.next,
+		FirstTimeout: max(minFirstTimeout, firstTimeoutFactor*c.request.Caller.Tier.FirstToken),
+		GapTimeout:   gapTimeout,
+	}
+}
+
+// resultOf classifies the end of an attempt for the owner.
+func resultOf(ctx context.Context, err error) Result {
+	switch {
+	case err == nil:
+		return ResultDone
+	case errors.Is(context.Cause(ctx), errPreempted):
+		return ResultPreempted
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return ResultTimeout
+	}
+	switch attempt.KindOf(err) {
+	case attempt.NotSent, attempt.MaybeSent, attempt.Cut:
+		return ResultTargetLost
+	case attempt.Stalled:
+		return ResultTimeout
+	case attempt.Failed, attempt.Refused:
+		return ResultFailed
+	}
+	return ResultCanceled
+}
+
+// afterFailure decides whether the request is tried again. A chat completion is
+// idempotent and resumable, so every failure but the caller's own end permits it.
+func (c *chat) afterFailure(ctx context.Context, grant *Grant, err error) (bool, error) {
+	c.attempts++
+	switch {
+	case c.finished:
+		return false, nil
+	case c.gone != nil:
+		return false, &Refusal{Status: 499, Code: CodeDeadline, Outcome: Unknown, Message: "the caller closed the connection", Err: c.gone}
+	case ctx.Err() != nil:
+		return false, &Refusal{Status: http.StatusGatewayTimeout, Code: CodeDeadline, Outcome: Unknown, Message: "the deadline passed", Err: err}
+	}
+	return c.retry(ctx, grant, err)
+}
+
+func (c *chat) retry(ctx context.Context, grant *Grant, err error) (bool, error) {
+	name := grant.Target.Name
+	failure := &Refusal{Status: http.StatusBadGateway, Code: CodeTargetFailed, Outcome: Unknown, Message: "targets failed while running the request", Err: err}
+	quarantined, suspect := c.entry.Suspects.Check(c.request.Fingerprint)
+	if quarantined {
+		failure.Code = CodeQuarantined
+		return false, failure
+	}
+	c.suspect = suspect
+	c.failures++
+	if c.failures >= maxAttempts || !c.entry.Retries.Allow(c.request.Service.Name) {
+		return false, failure
+	}
+	if !slices.Contains(c.exclude, name) {
+		c.exclude = append(c.exclude, name)
+	}
+	if c.next == 0 {
+		c.version = c.entry.Versions.Pick(c.request.Service)
+	}
+	c.entry.Pause(ctx, c.entry.Backoff(c.failures))
+	return true, nil
+}
+
+func (c *chat) observe(grant *Grant, report *Report, err error) {
+	r := c.request
+	c.entry.Observer.Attempt(Observation{
+		Service:  r.Service.Name,
+		Route:    r.Route,
+		Version:  c.version,
+		Target:   grant.Target.Name,
+		Tier:     r.Caller.Tier.Name,
+		Account:  r.Caller.Account.Name,
+		Failed:   err != nil && report.Result != ResultCanceled,
+		First:    report.FirstToken,
+		Duration: report.Duration,
+	})
+}
--- /dev/null
+++ b/entry/refusal.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome tells a caller whether a request without an answer has run.
+type Outcome string
+
+const (
+	// NotRun means that no target ran the request. It is only said when certain.
+	NotRun Outcome = "not_run"
+	// Unknown means that a target may have run the request.
+	Unknown Outcome = "unknown"
+)
+
+// Code is the stable reason of a refusal.
+type Code string
+
+// Reasons of refusals.
+const (
+	CodeUnauthorized  Code = "unauthorized"
+	CodeForbidden     Code = "forbidden"
+	CodeBadRequest    Code = "bad_request"
+	CodeTooLarge      Code = "too_large"
+	CodeNotFound      Code = "not_found"
+	CodeNotReady      Code = "not_ready"
+	CodeRateLimited   Code = "rate_limited"
+	CodeOverloaded    Code = "overloaded"
+	CodeDeadline      Code = "deadline"
+	CodeQuarantined   Code = "quarantined"
+	CodeNoTarget      Code = "no_target"
+	CodeTargetFailed  Code = "target_failed"
+	CodeStoreDown     Code = "store_unavailable"
+	CodeKeyInProgress Code = "key_in_progress"
+	CodeKeyUnknown    Code = "key_outcome_unknown"
+	CodeKeyMismatch   Code = "key_mismatch"
+	CodeShuttingDown  Code = "shutting_down"
+	CodeInternal      Code = "internal"
+)
+
+// Refusal is an answer of the system itself, as opposed to one of a target.
+type Refusal struct {
+	// Status is the HTTP status for the caller.
+	Status  int
+	Code    Code
+	Outcome Outcome
+	Message string
+	// RetryAfter is a hint to the caller; 0 gives none.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.Outcome, r.Message)
+}
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error {
+	return r.Err
+}
+
+// AsRefusal returns err as a refusal. Errors of other types become an internal
+// refusal with unknown outcome.
+func AsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return &Refusal{Status: http.StatusInternalServerError, Code: CodeInternal, Outcome: Unknown, Message: "internal error", Err: err}
+}
+
+// Refuse returns a refusal of a request that did not run.
+func Refuse(status int, code Code, message string) *Refusal {
+	return &Refusal{Status: status, Code: code, Outcome: NotRun, Message: message}
+}
--- /dev/null
+++ b/frontend/answer.go
@@ -0,0 +1,201 @@
+package frontend
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/marjoramflow/marjoramflow/engine"
+	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/eventlog"
+)
+
+// writeTimeout bounds one write to a caller, so that a caller that does not read
+// holds its request for a bounded time.
+const writeTimeout = 20 * time.Second
+
+// answer relays frames to the caller: as server-sent events, or collected into
+// one JSON document.
+type answer struct {
+	call       *call
+	stream     bool
+	model      string
+	controller *http.ResponseController
+	started    bool
+	first      time.Duration
+	tokens     int
+	text       strings.Builder
+	finish     *string
+	usage      *engine.Usage
+}
+
+func newAnswer(c *call, body *chatBody) *answer {
+	return &answer{
+		call:       c,
+		stream:     body.Stream,
+		model:      body.Model,
+		controller: http.NewResponseController(c.echo.Response()),
+	}
+}
+
+// event is one frame as callers see it.
+type event struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []engine.Choice `json:"choices"`
+	Usage   *engine.Usage   `json:"usage,omitempty"`
+}
+
+// Frame implements entry.Sink.
+func (a *answer) Frame(f *engine.Frame) error {
+	if a.first == 0 {
+		a.first = time.Since(a.call.started)
+	}
+	if !f.Last {
+		a.tokens++
+	}
+	if f.Usage != nil {
+		a.usage = f.Usage
+	}
+	if !a.stream {
+		return a.collect(f)
+	}
+	return a.send(event{
+		ID:      a.call.id,
+		Object:  "chat.completion.chunk",
+		Created: a.call.started.Unix(),
+		Model:   a.model,
+		Choices: f.Choices,
+		Usage:   f.Usage,
+	})
+}
+
+// collect appends a frame to the whole answer and notices a caller that has gone.
+func (a *answer) collect(f *engine.Frame) error {
+	for _, choice := range f.Choices {
+		var delta struct {
+			Content string `json:"content"`
+		}
+		if choice.Delta != nil {
+			if err := json.Unmarshal(choice.Delta, &delta); err != nil {
+				return err
+			}
+		}
+		a.text.WriteString(delta.Content)
+		if choice.FinishReason != nil {
+			a.finish = choice.FinishReason
+		}
+	}
+	return a.call.echo.Request().Context().Err()
+}
+
+// send writes one server-sent event and flushes it.
+func (a *answer) send(body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return a.write(string(data))
+}
+
+func (a *answer) write(data string) error {
+	w := a.call.echo.Response()
+	if !a.started {
+		a.started = true
+		w.Header().Set(echo.HeaderContentType, "text/event-stream")
+		w.Header().Set(echo.HeaderCacheControl, "no-cache")
+		w.WriteHeader(http.StatusOK)
+	}
+	// Not every connection supports write deadlines; without one the write waits
+	// for the caller.
+	_ = a.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := w.Write([]byte("data: " + data + "\n\n")); err != nil {
+		return err
+	}
+	return a.controller.Flush()
+}
+
+// end closes the answer. A stream that began and failed ends with an explicit
+// error event, never silently.
+func (a *answer) end(err error) error {
+	switch {
+	case err == nil && a.stream:
+		return ignoreGone(a.write("[DONE]"))
+	case err == nil:
+		return a.whole()
+	case !a.started:
+		return err
+	}
+	refusal := entry.AsRefusal(err)
+	a.call.server.Logger.EmitError(eventlog.RequestFailed, err, eventlog.Fields{"request": a.call.id, "code": string(refusal.Code)})
+	return ignoreGone(a.send(errorBody(a.call.id, refusal)))
+}
+
+type wholeMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type wholeChoice struct {
+	Index        int          `json:"index"`
+	Message      wholeMessage `json:"message"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type wholeAnswer struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []wholeChoice `json:"choices"`
+	Usage   *engine.Usage `json:"usage,omitempty"`
+}
+
+func (a *answer) whole() error {
+	message := wholeMessage{Role: "assistant", Content: a.text.String()}
+	return ignoreGone(a.call.echo.JSON(http.StatusOK, wholeAnswer{
+		ID:      a.call.id,
+		Object:  "chat.completion",
+		Created: a.call.started.Unix(),
+		Model:   a.model,
+		Choices: []wholeChoice{{Message: message, FinishReason: a.finish}},
+		Usage:   a.usage,
+	}))
+}
+
+// OutcomeHeader says whether a refused request ran.
+const OutcomeHeader = "X-Marjoram-Outcome"
+
+// ErrorBody is the JSON body of a refusal.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail describes a refusal.
+type ErrorDetail struct {
+	Code      entry.Code    `json:"code"`
+	Outcome   entry.Outcome `json:"outcome"`
+	Message   string        `json:"message"`
+	RequestID string        `json:"request_id"`
+}
+
+func errorBody(id string, r *entry.Refusal) ErrorBody {
+	return ErrorBody{Error: ErrorDetail{Code: r.Code, Outcome: r.Outcome, Message: r.Message, RequestID: id}}
+}
+
+// refuse answers with a refusal.
+func refuse(c echo.Context, id string, r *entry.Refusal) error {
+	header := c.Response().Header()
+	header.Set(OutcomeHeader, string(r.Outcome))
+	if r.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	return ignoreGone(c.JSON(r.Status, errorBody(id, r)))
+}
--- /dev/null
+++ b/frontend/call.go
@@ -0,0 +1,281 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/labstack/echo/v4"
+
+	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/plainservice"
+	"github.com/marjoramflow/marjoramflow/prefix"
+)
+
+const (
+	// charactersPerToken estimates prompt tokens before the engine counts them.
+	charactersPerToken = 4
+	// defaultMaxTokens applies when the caller gives no max_tokens.
+	defaultMaxTokens = 128
+	// maxMaxTokens bounds a caller's max_tokens.
+	maxMaxTokens = 128 << 10
+	// outcomeOK is the outcome of a request that was answered whole.
+	outcomeOK = "ok"
+)
+
+// PlainAnswer is the whole answer of a plain service.
+type PlainAnswer = plainservice.Answer
+
+// call is one call of an authenticated caller.
+type call struct {
+	server  *Server
+	echo    echo.Context
+	id      string
+	index   *object.Index
+	caller  entry.Caller
+	body    []byte
+	started time.Time
+}
+
+// chatBody holds the fields of a chat completion that the system reads.
+type chatBody struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+	MaxTokens           int  `json:"max_tokens"`
+	MaxCompletionTokens int  `json:"max_completion_tokens"`
+	Stream              bool `json:"stream"`
+}
+
+// chat runs a call of a model service.
+func (c *call) chat(matches []object.RouteMatch) error {
+	request, typed, err := c.chatRequest(matches)
+	if err != nil {
+		return err
+	}
+	if err := c.admit(request.Service.Name, request.PromptTokens+request.OutputTokens); err != nil {
+		return err
+	}
+	answer := newAnswer(c, typed)
+	err = c.server.Runner.Chat(c.echo.Request().Context(), request, answer)
+	c.record(request.Service.Name, err, answer.first, answer.tokens)
+	if err == nil {
+		c.server.Lengths.Finished(c.caller.Account.Name, request.Service.Name, answer.tokens)
+	}
+	return answer.end(err)
+}
+
+// chatRequest parses the body and builds the request.
+func (c *call) chatRequest(matches []object.RouteMatch) (*entry.ChatRequest, *chatBody, error) {
+	var raw map[string]json.RawMessage
+	var typed chatBody
+	if err := json.Unmarshal(c.body, &raw); err != nil {
+		return nil, nil, entry.Refuse(http.StatusBadRequest, entry.CodeBadRequest, "the body is no JSON object")
+	}
+	if err := json.Unmarshal(c.body, &typed); err != nil {
+		return nil, nil, entry.Refuse(http.StatusBadRequest, entry.CodeBadRequest, "the body is no chat completion")
+	}
+	if len(typed.Messages) == 0 {
+		return nil, nil, entry.Refuse(http.StatusBadRequest, entry.CodeBadRequest, "messages is empty")
+	}
+	maxTokens, err := typed.limit()
+	if err != nil {
+		return nil, nil, err
+	}
+	match, err := c.modelService(matches, typed.Model)
+	if err != nil {
+		return nil, nil, err
+	}
+	account := c.caller.Account.Name
+	prompt := typed.prompt()
+	request := &entry.ChatRequest{
+		ID:           c.id,
+		Caller:       c.caller,
+		Service:      match.Service,
+		Model:        c.model,
+		Route:        match.Route.Name,
+		Body:         raw,
+		Fingerprint:  c.fingerprint(match.Service.Name, prompt),
+		Prefix:       prefix.Blocks(prompt),
+		PromptTokens: max(1, len(prompt)/charactersPerToken),
+		OutputTokens: c.server.Lengths.Output(account, match.Service.Name, maxTokens),
+		Deadline:     c.started.Add(c.timeout(match.Route)),
+	}
+	return request, &typed, nil
+}
+
+// limit returns the caller's bound on the answer's length in tokens.
+func (b *chatBody) limit() (int, error) {
+	limit := max(b.MaxTokens, b.MaxCompletionTokens)
+	if b.MaxTokens < 0 || b.MaxCompletionTokens < 0 || limit > maxMaxTokens {
+		return 0, entry.Refuse(http.StatusBadRequest, entry.CodeBadRequest, "max_tokens is out of range")
+	}
+	if limit == 0 {
+		return defaultMaxTokens, nil
+	}
+	return limit, nil
+}
+
+// prompt joins the messages for estimates and prefix hashes.
+func (b *chatBody) prompt() string {
+	var text strings.Builder
+	for _, m := range b.Messages {
+		text.WriteString(m.Role)
+		text.WriteString(": ")
+		text.WriteString(content(m.Content))
+		text.WriteString("\n")
+	}
+	return text.String()
+}
+
+// content returns a message's text; content in parts is taken as its JSON.
+func content(raw json.RawMessage) string {
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return s
+	}
+	return string(raw)
+}
+
+// modelService finds the service that the "model" field names.
+func (c *call) modelService(matches []object.RouteMatch, model string) (object.RouteMatch, error) {
+	service := c.index.ModelService(model)
+	if service == nil {
+		return object.RouteMatch{}, entry.Refuse(http.StatusNotFound, entry.CodeNotFound, "no service has this model")
+	}
+	for _, m := range matches {
+		if m.Service.Name == service.Name {
+			return m, c.permit(service.Name)
+		}
+	}
+	return object.RouteMatch{}, entry.Refuse(http.StatusNotFound, entry.CodeNotFound, "the model has no such route")
+}
+
+func (c *call) permit(service string) error {
+	if c.index.Permits(c.caller.Account.Name, service) {
+		return nil
+	}
+	return entry.Refuse(http.StatusForbidden, entry.CodeForbidden, "the client account may not call this service")
+}
+
+// model returns the engine's model name of a version.
+func (c *call) model(version string) string {
+	if v := c.index.Version(version); v != nil && v.Model != "" {
+		return v.Model
+	}
+	return version
+}
+
+// fingerprint identifies the content of a request. The request id is not part
+// of it, so that a request that is sent again has the same fingerprint.
+func (c *call) fingerprint(service, content string) uint64 {
+	return xxhash.Sum64String(service + "\x00" + content)
+}
+
+// timeout is the route's timeout, or the tier's deadline.
+func (c *call) timeout(route *object.Route) time.Duration {
+	if route.Timeout > 0 {
+		return route.Timeout
+	}
+	return c.caller.Tier.Deadline
+}
+
+// admit checks the rate limits of the client account.
+func (c *call) admit(service string, tokens int) error {
+	wait := c.server.Limiter.Allow(c.caller.Account.Name, tokens)
+	if wait <= 0 {
+		return nil
+	}
+	refusal := entry.Refuse(http.StatusTooManyRequests, entry.CodeRateLimited, "the client account is over its limit")
+	refusal.RetryAfter = wait
+	c.record(service, refusal, 0, 0)
+	return refusal
+}
+
+// plain runs a call of a plain service.
+func (c *call) plain(match object.RouteMatch) error {
+	if err := c.permit(match.Service.Name); err != nil {
+		return err
+	}
+	if err := c.admit(match.Service.Name, 0); err != nil {
+		return err
+	}
+	r := c.echo.Request()
+	request := &entry.PlainRequest{
+		ID:          c.id,
+		Caller:      c.caller,
+		Service:     match.Service,
+		Route:       match.Route,
+		Path:        r.URL.RequestURI(),
+		Header:      r.Header,
+		Body:        c.body,
+		Key:         r.Header.Get("Idempotency-Key"),
+		Fingerprint: c.fingerprint(match.Service.Name, r.URL.RequestURI()+"\x00"+string(c.body)),
+		Deadline:    c.started.Add(c.timeout(match.Route)),
+	}
+	// A non-idempotent call that was dispatched is followed to its end also when
+	// its caller has gone, so that its outcome is recorded under its key.
+	ctx := r.Context()
+	if !match.Route.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	answer, err := c.server.Runner.Plain(ctx, request)
+	c.record(match.Service.Name, err, 0, 0)
+	if err != nil {
+		return err
+	}
+	return c.writePlain(answer)
+}
+
+func (c *call) writePlain(answer *PlainAnswer) error {
+	header := c.echo.Response().Header()
+	for name, values := range answer.Header {
+		if name == "Connection" || name == "Content-Length" || name == "Transfer-Encoding" || name == RequestIDHeader {
+			continue
+		}
+		header[name] = values
+	}
+	c.echo.Response().WriteHeader(answer.Status)
+	_, err := c.echo.Response().Write(answer.Body)
+	return ignoreGone(err)
+}
+
+// ignoreGone drops write errors: the caller has gone and nothing can be told it.
+func ignoreGone(error) error {
+	return nil
+}
+
+func (c *call) record(service string, err error, first time.Duration, tokens int) {
+	outcome := outcomeOK
+	if err != nil {
+		outcome = string(entry.AsRefusal(err).Code)
+	}
+	c.server.Recorder.Request(Measure{
+		Tier:       c.caller.Tier.Name,
+		Account:    c.caller.Account.Name,
+		Service:    service,
+		Outcome:    outcome,
+		FirstToken: first,
+		Total:      time.Since(c.started),
+		Tokens:     tokens,
+	})
+}
+
+// readAll reads a body, with one allocation when its length is known.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	const maxPreallocated = 64 << 10
+	var b bytes.Buffer
+	if length > 0 {
+		b.Grow(int(min(length, maxPreallocated)) + bytes.MinRead)
+	}
+	_, err := b.ReadFrom(r)
+	return b.Bytes(), err
+}
--- /dev/null
+++ b/frontend/server.go
@@ -0,0 +1,217 @@
+package frontend
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/settings"
+)
+
+// RequestIDHeader carries the caller's request id; one is made when it is absent.
+const RequestIDHeader = "X-Request-Id"
+
+// maxRequestID bounds a caller's request id.
+const maxRequestID = 128
+
+// Runner runs requests; entry.Entry implements it.
+type Runner interface {
+	Chat(ctx context.Context, r *entry.ChatRequest, sink entry.Sink) error
+	Plain(ctx context.Context, r *entry.PlainRequest) (*PlainAnswer, error)
+}
+
+// Limiter bounds client accounts.
+type Limiter interface {
+	// Allow takes one request of so many tokens; a positive wait refuses it.
+	Allow(account string, tokens int) (wait time.Duration)
+}
+
+// Lengths predicts the length of an answer.
+type Lengths interface {
+	// Output returns the expected number of tokens for at most maxTokens.
+	Output(account, service string, maxTokens int) int
+	// Finished corrects the prediction with an observed length.
+	Finished(account, service string, tokens int)
+}
+
+// Recorder takes the measures of finished requests.
+type Recorder interface {
+	Request(m Measure)
+}
+
+// Measure describes one finished request.
+type Measure struct {
+	Tier, Account, Service string
+	// Outcome is "ok" or the code of the refusal.
+	Outcome    string
+	FirstToken time.Duration
+	Total      time.Duration
+	Tokens     int
+}
+
+// Config holds the parts of a Server. All are required.
+type Config struct {
+	Limits   settings.Limits
+	Runner   Runner
+	Limiter  Limiter
+	Lengths  Lengths
+	Recorder Recorder
+	Logger   *eventlog.Logger
+	// Index returns the configuration in force, or nil before the first.
+	Index func() *object.Index
+	// Callers maps token digests of the settings to client account names.
+	Callers map[[sha256.Size]byte]string
+	// Ready is the answer to the balancer's probe. Requests are still taken while
+	// it is false, since the balancer notices late.
+	Ready func() bool
+}
+
+// Server serves callers.
+type Server struct {
+	Config
+	http *http.Server
+	open atomic.Int64
+}
+
+// New returns a server that is not yet listening.
+func New(config Config) *Server {
+	s := &Server{Config: config}
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET("/readyz", s.ready)
+	e.Any("/*", s.handle)
+	s.http = &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: config.Limits.HeaderTimeout,
+		ReadTimeout:       config.Limits.IdleTimeout,
+		IdleTimeout:       config.Limits.IdleTimeout,
+		MaxHeaderBytes:    config.Limits.HeaderBytes,
+	}
+	return s
+}
+
+// Serve accepts callers until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fault.Wrap(err, "frontend.serve", listener.Addr().String())
+}
+
+// Shutdown stops accepting connections and waits for requests in flight.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return fault.Wrap(s.http.Shutdown(ctx), "frontend.shutdown", "")
+}
+
+// Open returns the number of requests in flight.
+func (s *Server) Open() int64 {
+	return s.open.Load()
+}
+
+func (s *Server) ready(c echo.Context) error {
+	if s.Ready() {
+		return c.NoContent(http.StatusOK)
+	}
+	return c.NoContent(http.StatusServiceUnavailable)
+}
+
+// handle authenticates a call, finds its service and runs it.
+func (s *Server) handle(c echo.Context) error {
+	id := requestID(c.Request())
+	c.Response().Header().Set(RequestIDHeader, id)
+	if s.open.Add(1) > int64(s.Limits.OpenRequests) {
+		s.open.Add(-1)
+		return refuse(c, id, entry.Refuse(http.StatusServiceUnavailable, entry.CodeOverloaded, "too many open requests on this daemon"))
+	}
+	defer s.open.Add(-1)
+	if err := s.serve(c, id); err != nil {
+		return refuse(c, id, entry.AsRefusal(err))
+	}
+	return nil
+}
+
+func (s *Server) serve(c echo.Context, id string) error {
+	index := s.Index()
+	if index == nil {
+		refusal := entry.Refuse(http.StatusServiceUnavailable, entry.CodeNotReady, "the daemon has no configuration yet")
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
+	caller, err := s.authenticate(index, c.Request())
+	if err != nil {
+		return err
+	}
+	matches := index.Match(c.Request().Method, c.Request().URL.Path)
+	if len(matches) == 0 {
+		return entry.Refuse(http.StatusNotFound, entry.CodeNotFound, "no service has this method and path")
+	}
+	body, err := s.readBody(c)
+	if err != nil {
+		return err
+	}
+	call := &call{server: s, echo: c, id: id, index: index, caller: caller, body: body, started: time.Now()}
+	if matches[0].Service.Kind == object.ModelService {
+		return call.chat(matches)
+	}
+	return call.plain(matches[0])
+}
+
+// authenticate finds the client account of the bearer token. Lookups are by
+// digest, so that their time does not depend on a token's content.
+func (s *Server) authenticate(index *object.Index, r *http.Request) (entry.Caller, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return entry.Caller{}, entry.Refuse(http.StatusUnauthorized, entry.CodeUnauthorized, "a bearer token is required")
+	}
+	digest := sha256.Sum256([]byte(token))
+	account := index.AccountByDigest(digest)
+	if account == nil {
+		account = index.ClientAccount(s.Callers[digest])
+	}
+	if account == nil {
+		return entry.Caller{}, entry.Refuse(http.StatusUnauthorized, entry.CodeUnauthorized, "the token belongs to no client account")
+	}
+	return entry.Caller{Account: account, Tier: index.TierOf(account)}, nil
+}
+
+// readBody reads the whole body within the limit of the settings.
+func (s *Server) readBody(c echo.Context) ([]byte, error) {
+	r := c.Request()
+	body, err := readAll(http.MaxBytesReader(c.Response(), r.Body, s.Limits.BodyBytes), r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, entry.Refuse(http.StatusRequestEntityTooLarge, entry.CodeTooLarge, "the body exceeds the limit")
+	}
+	if err != nil {
+		return nil, entry.Refuse(http.StatusBadRequest, entry.CodeBadRequest, "the body could not be read")
+	}
+	return body, nil
+}
+
+// requestID returns the caller's id when it is printable and short, or a new one.
+func requestID(r *http.Request) string {
+	id := r.Header.Get(RequestIDHeader)
+	if id == "" || len(id) > maxRequestID || strings.ContainsFunc(id, notPrintable) {
+		return uuid.NewString()
+	}
+	return id
+}
+
+func notPrintable(r rune) bool {
+	return r < '!' || r > '~'
+}
--- /dev/null
+++ b/internal/grants/client.go
@@ -0,0 +1,233 @@
+package grants
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/peer/peerpb"
+	"github.com/marjoramflow/marjoramflow/topology"
+)
+
+const (
+	// replyTimeout bounds the wait for any reply of an owner. It is far above a
+	// round trip between regions (24 ms) and far below the first-token time.
+	replyTimeout = 500 * time.Millisecond
+	// replyBuffer holds the replies to one request: queued, then granted or refused.
+	replyBuffer = 4
+	// FallbackGroup is the number of the group in which a daemon schedules its own
+	// requests when no owner answers. It holds the daemon's share of the slots.
+	FallbackGroup = 1 << 16
+)
+
+// Sender sends messages to daemons without blocking.
+type Sender interface {
+	Send(to string, m *peerpb.Envelope) error
+}
+
+// Places knows where the targets of a service are.
+type Places interface {
+	// Local returns the groups of the own data centre.
+	Local() *topology.Topology
+	// Nearby returns the other data centres of the own region, Far those of
+	// other regions, each in order of preference.
+	Nearby() []*topology.Topology
+	Far() []*topology.Topology
+	// Target returns a target of the configuration in force, or nil.
+	Target(name string) *object.Target
+}
+
+// Link is the byte budget of the paid link between regions.
+type Link interface {
+	Take(tier int, bytes int) bool
+}
+
+// Config holds the parts of a Client. All are required.
+type Config struct {
+	// Self is the daemon's name.
+	Self   string
+	Sender Sender
+	Places Places
+	Link   Link
+	// Unreachable is told when an owner did not answer in time.
+	Unreachable func(daemon string)
+}
+
+// Client asks owners for grants.
+type Client struct {
+	Config
+
+	mu      sync.Mutex
+	waiting map[string]*wait
+	held    map[string]*held
+	loads   map[topology.Key]*peerpb.GroupLoad
+}
+
+// wait is a request that waits for a reply.
+type wait struct {
+	need    entry.Need
+	reserve *peerpb.Reserve
+	key     topology.Key
+	owner   string
+	replies chan *peerpb.ReserveReply
+	// moved is signalled when the request has to be sent to another owner.
+	moved chan struct{}
+}
+
+// held is a grant in use.
+type held struct {
+	need      entry.Need
+	reserve   *peerpb.Reserve
+	key       topology.Key
+	owner     string
+	target    string
+	preempted chan struct{}
+	once      sync.Once
+}
+
+// New returns a Client.
+func New(config Config) *Client {
+	return &Client{
+		Config:  config,
+		waiting: make(map[string]*wait),
+		held:    make(map[string]*held),
+		loads:   make(map[topology.Key]*peerpb.GroupLoad),
+	}
+}
+
+// Release implements entry.Grants.
+func (c *Client) Release(grant *entry.Grant, report entry.Report) {
+	c.mu.Lock()
+	h := c.held[grant.Need.ID]
+	delete(c.held, grant.Need.ID)
+	c.mu.Unlock()
+	if h != nil {
+		c.sendRelease(h, grant, report)
+	}
+}
+
+func (c *Client) sendRelease(h *held, grant *entry.Grant, report entry.Report) {
+	c.send(h.owner, &peerpb.Release{
+		Id:           grant.Need.ID,
+		Service:      h.key.Service,
+		Group:        uint32(h.key.Number),
+		Target:       h.target,
+		Outcome:      outcomes[report.Result],
+		PromptTokens: uint32(report.PromptTokens),
+		CachedTokens: uint32(report.CachedTokens),
+		OutputTokens: uint32(report.OutputTokens),
+		FirstTokenUs: uint32(report.FirstToken.Microseconds()),
+		DurationUs:   uint32(report.Duration.Microseconds()),
+		Version:      grant.Need.Version,
+	})
+}
+
+var outcomes = map[entry.Result]peerpb.ReleaseOutcome{
+	entry.ResultDone:       peerpb.ReleaseOutcome_RELEASE_DONE,
+	entry.ResultFailed:     peerpb.ReleaseOutcome_RELEASE_FAILED,
+	entry.ResultCanceled:   peerpb.ReleaseOutcome_RELEASE_CANCELLED,
+	entry.ResultPreempted:  peerpb.ReleaseOutcome_RELEASE_PREEMPTED,
+	entry.ResultTargetLost: peerpb.ReleaseOutcome_RELEASE_TARGET_LOST,
+	entry.ResultTimeout:    peerpb.ReleaseOutcome_RELEASE_TIMEOUT,
+}
+
+// Requeue implements entry.Grants: it gives a preempted grant back and waits for
+// the next one. The owner keeps the request's place in its queue; when the owner
+// has gone, the request is reserved anew.
+func (c *Client) Requeue(ctx context.Context, grant *entry.Grant, report entry.Report) (*entry.Grant, error) {
+	c.mu.Lock()
+	h := c.held[grant.Need.ID]
+	delete(c.held, grant.Need.ID)
+	if h == nil {
+		c.mu.Unlock()
+		return c.Reserve(ctx, grant.Need)
+	}
+	w := c.addWait(h.need, h.reserve, h.key, h.owner)
+	c.mu.Unlock()
+	c.sendRelease(h, grant, report)
+	reply := c.await(ctx, w, nil)
+	if reply.grant != nil {
+		return reply.grant, nil
+	}
+	if reply.moved {
+		return c.Reserve(ctx, grant.Need)
+	}
+	return nil, reply.refusal
+}
+
+// OnMessage takes a message of an owner. It says whether the message was one of
+// the grant protocol.
+func (c *Client) OnMessage(from string, m *peerpb.Envelope) bool {
+	switch body := m.Body.(type) {
+	case *peerpb.Envelope_ReserveReply:
+		c.onReply(from, body.ReserveReply)
+	case *peerpb.Envelope_Preempt:
+		c.onPreempt(body.Preempt.Id)
+	default:
+		return false
+	}
+	return true
+}
+
+func (c *Client) onReply(from string, reply *peerpb.ReserveReply) {
+	c.mu.Lock()
+	w := c.waiting[reply.Id]
+	if w != nil && w.owner == from {
+		c.remember(w.key, reply.Load)
+		select {
+		case w.replies <- reply:
+		default:
+		}
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Unlock()
+	if reply.Outcome == peerpb.ReserveOutcome_RESERVE_GRANTED {
+		c.giveBack(from, reply)
+	}
+}
+
+// giveBack cancels a grant that nobody waits for any more.
+func (c *Client) giveBack(owner string, reply *peerpb.ReserveReply) {
+	if reply.Load == nil {
+		return
+	}
+	c.send(owner, &peerpb.CancelReserve{Id: reply.Id, Service: reply.Load.Service, Group: reply.Load.Group})
+}
+
+func (c *Client) remember(key topology.Key, load *peerpb.GroupLoad) {
+	if load != nil {
+		c.loads[key] = load
+	}
+}
+
+func (c *Client) onPreempt(id string) {
+	c.mu.Lock()
+	h := c.held[id]
+	c.mu.Unlock()
+	if h != nil {
+		h.once.Do(func() { close(h.preempted) })
+	}
+}
+
+// send drops a message that cannot be sent: every message of this protocol is
+// repaired by a timeout or a resync.
+func (c *Client) send(to string, body any) {
+	_ = c.Sender.Send(to, envelope(body))
+}
+
+func envelope(body any) *peerpb.Envelope {
+	switch b := body.(type) {
+	case *peerpb.Reserve:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Reserve{Reserve: b}}
+	case *peerpb.CancelReserve:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_CancelReserve{CancelReserve: b}}
+	case *peerpb.Release:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Release{Release: b}}
+	case *peerpb.Resync:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Resync{Resync: b}}
+	}
+	return &peerpb.Envelope{}
+}
--- /dev/null
+++ b/internal/owners/duty.go
@@ -0,0 +1,178 @@
+package owners
+
+import (
+	"context"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/estimate"
+	"github.com/marjoramflow/marjoramflow/owner"
+	"github.com/marjoramflow/marjoramflow/peer/peerpb"
+	"github.com/marjoramflow/marjoramflow/prefix"
+	"github.com/marjoramflow/marjoramflow/ring"
+	"github.com/marjoramflow/marjoramflow/topology"
+)
+
+const (
+	// ringSize bounds the events that wait for the duty.
+	ringSize = 8192
+	// tickInterval is the precision of deadlines of waiting requests.
+	tickInterval = 20 * time.Millisecond
+	// takeoverDelay is the time between becoming an owner and the first grant,
+	// in which entries register the grants that they hold.
+	takeoverDelay = 200 * time.Millisecond
+)
+
+// Sender sends messages to daemons without blocking.
+type Sender interface {
+	Send(to string, m *peerpb.Envelope) error
+}
+
+// Duty holds the groups. Run drives it; the other methods are safe for
+// concurrent use and hand their input to the ring.
+type Duty struct {
+	self   string
+	sender Sender
+	onLost func(target string, running []owner.Running)
+	events *ring.Ring[event]
+	model  *estimate.Model
+	groups map[key]*state
+	// states are the last known states of targets, kept over changes of groups.
+	states map[string]owner.TargetState
+	// loaded are the versions that each target reported, by target.
+	loaded map[string][]string
+	// fallbackShare divides the slots of targets in fallback groups.
+	fallbackShare int
+	local         *topology.Topology
+}
+
+// key names a group of the own data centre.
+type key struct {
+	service string
+	number  int
+}
+
+// state is one group and when it may grant.
+type state struct {
+	group   *owner.Group
+	opensAt time.Time
+	open    bool
+}
+
+// event is one input of the duty.
+type event func(now time.Time)
+
+// New returns a duty without groups. It calls onLost when an entry reports that a
+// connection to a target broke, with the requests that ran there.
+func New(self string, sender Sender, onLost func(target string, running []owner.Running)) *Duty {
+	return &Duty{
+		self:          self,
+		sender:        sender,
+		onLost:        onLost,
+		events:        ring.New[event](ringSize),
+		model:         estimate.New(),
+		groups:        make(map[key]*state),
+		states:        make(map[string]owner.TargetState),
+		loaded:        make(map[string][]string),
+		fallbackShare: 1,
+	}
+}
+
+// Run handles events until the context ends.
+func (d *Duty) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case handle := <-d.events.Items():
+			handle(time.Now())
+		case now := <-ticker.C:
+			d.tick(now)
+		}
+	}
+}
+
+// Waiting returns the number of events that wait for the duty.
+func (d *Duty) Waiting() int {
+	return d.events.Len()
+}
+
+// OnMessage takes a message of an entry. It says whether the message was one
+// for owners.
+func (d *Duty) OnMessage(from string, m *peerpb.Envelope) bool {
+	var handle event
+	switch body := m.Body.(type) {
+	case *peerpb.Envelope_Reserve:
+		handle = func(now time.Time) { d.reserve(now, from, body.Reserve) }
+	case *peerpb.Envelope_CancelReserve:
+		handle = func(now time.Time) { d.cancel(now, body.CancelReserve) }
+	case *peerpb.Envelope_Release:
+		handle = func(now time.Time) { d.release(now, body.Release) }
+	case *peerpb.Envelope_Resync:
+		handle = func(now time.Time) { d.resync(now, from, body.Resync) }
+	default:
+		return false
+	}
+	d.events.TryPush(handle)
+	return true
+}
+
+// EntryGone drops the requests of a daemon that is dead.
+func (d *Duty) EntryGone(daemon string) {
+	d.events.TryPush(func(now time.Time) {
+		for k, s := range d.groups {
+			d.send(k, s, s.group.EntryGone(now, daemon))
+		}
+	})
+}
+
+// SetTargetState tells the state of a target.
+func (d *Duty) SetTargetState(target string, to owner.TargetState) {
+	d.events.TryPush(func(now time.Time) {
+		if d.states[target] == to {
+			return
+		}
+		d.states[target] = to
+		for k, s := range d.groups {
+			if s.open {
+				d.send(k, s, s.group.SetTargetState(now, target, to))
+			}
+		}
+	})
+}
+
+// SetLoaded tells which versions a target reports as loaded.
+func (d *Duty) SetLoaded(target string, versions []string) {
+	d.events.TryPush(func(now time.Time) {
+		d.loaded[target] = versions
+		for k, s := range d.groups {
+			d.applyTargets(now, k, s)
+		}
+	})
+}
+
+// CacheEvents passes cache events of a target on.
+func (d *Duty) CacheEvents(target string, events []prefix.Event) {
+	d.events.TryPush(func(now time.Time) {
+		for _, s := range d.groups {
+			s.group.CacheEvents(now, target, events)
+		}
+	})
+}
+
+// InFlight calls back with the requests that run on a target.
+func (d *Duty) InFlight(target string, then func([]owner.Running)) {
+	d.events.TryPush(func(time.Time) {
+		var running []owner.Running
+		for _, s := range d.groups {
+			running = append(running, s.group.InFlight(target)...)
+		}
+		then(running)
+	})
+}
+
+// Output predicts the length of an answer; it runs in the caller's goroutine.
+func (d *Duty) Model() *estimate.Model {
+	return d.model
+}
--- /dev/null
+++ b/internal/owners/messages.go
@@ -0,0 +1,160 @@
+package owners
+
+import (
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/internal/grants"
+	"github.com/marjoramflow/marjoramflow/owner"
+	"github.com/marjoramflow/marjoramflow/peer/peerpb"
+)
+
+// find returns a group that this daemon holds. Fallback groups are made on
+// demand and only for the daemon itself.
+func (d *Duty) find(now time.Time, from, service string, number uint32) (key, *state) {
+	k := key{service: service, number: int(number)}
+	s := d.groups[k]
+	if s == nil && k.number >= grants.FallbackGroup && from == d.self {
+		s = d.newState(k, now)
+		s.open = true
+		d.groups[k] = s
+		d.applyTargets(now, k, s)
+	}
+	return k, s
+}
+
+func (d *Duty) reserve(now time.Time, from string, m *peerpb.Reserve) {
+	k, s := d.find(now, from, m.Service, m.Group)
+	if s == nil {
+		d.reply(from, &peerpb.ReserveReply{Id: m.Id, Outcome: peerpb.ReserveOutcome_RESERVE_NOT_OWNER})
+		return
+	}
+	d.send(k, s, s.group.Reserve(now, request(now, from, m)))
+}
+
+func (d *Duty) cancel(now time.Time, m *peerpb.CancelReserve) {
+	k, s := d.find(now, "", m.Service, m.Group)
+	if s != nil {
+		d.send(k, s, s.group.Cancel(now, m.Id))
+	}
+}
+
+func (d *Duty) release(now time.Time, m *peerpb.Release) {
+	k, s := d.find(now, "", m.Service, m.Group)
+	if s == nil {
+		return
+	}
+	if m.Outcome == peerpb.ReleaseOutcome_RELEASE_TARGET_LOST {
+		d.onLost(m.Target, s.group.InFlight(m.Target))
+	}
+	d.send(k, s, s.group.Release(now, owner.Report{
+		ID:           m.Id,
+		Target:       m.Target,
+		Version:      m.Version,
+		Outcome:      owner.Outcome(m.Outcome),
+		PromptTokens: int(m.PromptTokens),
+		CachedTokens: int(m.CachedTokens),
+		OutputTokens: int(m.OutputTokens),
+		FirstToken:   time.Duration(m.FirstTokenUs) * time.Microsecond,
+		Duration:     time.Duration(m.DurationUs) * time.Microsecond,
+	}))
+}
+
+func (d *Duty) resync(now time.Time, from string, m *peerpb.Resync) {
+	k, s := d.find(now, from, m.Service, m.Group)
+	if s == nil {
+		return
+	}
+	held := make([]owner.Held, len(m.Held))
+	for i, h := range m.Held {
+		held[i] = owner.Held{Request: request(now, from, h.Reserve), Target: h.Target}
+	}
+	d.send(k, s, s.group.Resync(now, from, held))
+}
+
+func request(now time.Time, from string, m *peerpb.Reserve) owner.Request {
+	return owner.Request{
+		ID:           m.Id,
+		Entry:        from,
+		Service:      m.Service,
+		Version:      m.Version,
+		Account:      m.Account,
+		Target:       m.Target,
+		Exclude:      m.Exclude,
+		Tier:         int(m.Tier),
+		PromptTokens: int(m.PromptTokens),
+		OutputTokens: int(m.OutputTokens),
+		Deadline:     now.Add(time.Duration(m.RemainingMs) * time.Millisecond),
+		Preemptible:  m.Preemptible,
+		Suspect:      m.Suspect,
+		Plain:        m.Plain,
+		MayPreempt:   m.Preempt,
+		Fingerprint:  m.Fingerprint,
+		Prefix:       m.Prefix,
+	}
+}
+
+// send turns decisions into messages. A grant that cannot be sent is taken back,
+// since its entry will reserve again.
+func (d *Duty) send(k key, s *state, decisions []owner.Decision) {
+	for len(decisions) > 0 {
+		var undelivered []string
+		for _, decision := range decisions {
+			if !d.sendOne(k, s, decision) && decision.Kind == owner.Grant {
+				undelivered = append(undelivered, decision.ID)
+			}
+		}
+		decisions = nil
+		for _, id := range undelivered {
+			decisions = append(decisions, s.group.Cancel(time.Now(), id)...)
+		}
+	}
+}
+
+func (d *Duty) sendOne(k key, s *state, decision owner.Decision) bool {
+	if decision.Kind == owner.Preempt {
+		m := &peerpb.Envelope{Body: &peerpb.Envelope_Preempt{Preempt: &peerpb.Preempt{Id: decision.ID}}}
+		return d.sender.Send(decision.Entry, m) == nil
+	}
+	return d.reply(decision.Entry, &peerpb.ReserveReply{
+		Id:           decision.ID,
+		Outcome:      replyOutcomes[decision.Kind],
+		Target:       decision.Target,
+		CachedTokens: uint32(decision.CachedTokens),
+		Reason:       reason(decision),
+		RetryAfterMs: uint32(decision.RetryAfter.Milliseconds()),
+		Load:         d.load(k, s),
+	})
+}
+
+var replyOutcomes = map[owner.DecisionKind]peerpb.ReserveOutcome{
+	owner.Grant:  peerpb.ReserveOutcome_RESERVE_GRANTED,
+	owner.Queued: peerpb.ReserveOutcome_RESERVE_QUEUED,
+	owner.Refuse: peerpb.ReserveOutcome_RESERVE_REFUSED,
+}
+
+func reason(decision owner.Decision) string {
+	if decision.Kind != owner.Refuse {
+		return ""
+	}
+	return decision.Reason.String()
+}
+
+func (d *Duty) reply(to string, reply *peerpb.ReserveReply) bool {
+	return d.sender.Send(to, &peerpb.Envelope{Body: &peerpb.Envelope_ReserveReply{ReserveReply: reply}}) == nil
+}
+
+func (d *Duty) load(k key, s *state) *peerpb.GroupLoad {
+	load := s.group.Load()
+	waiting := make([]uint32, len(load.Waiting))
+	for i, n := range load.Waiting {
+		waiting[i] = uint32(n)
+	}
+	return &peerpb.GroupLoad{
+		Service:           k.service,
+		Group:             uint32(k.number),
+		FreeSlots:         uint32(max(0, load.FreeSlots)),
+		Waiting:           waiting,
+		LowestTierPlusOne: uint32(load.LowestTier + 1),
+		PredictedWaitMs:   uint32(load.PredictedWait.Milliseconds()),
+	}
+}
--- /dev/null
+++ b/topology/topology.go
@@ -0,0 +1,104 @@
+// Package topology derives from a configuration and a list of live daemons
+// which target groups exist in a data centre and which daemon owns each. All
+// daemons with the same inputs derive the same result.
+//
+// The package is pure. A Topology is read-only and safe for concurrent use. The
+// cost of Build grows with the targets and daemons of one data centre, so it is
+// built once per change and not per request.
+package topology
+
+import (
+	"slices"
+
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/owner"
+)
+
+// Key names a target group.
+type Key struct {
+	DataCentre string
+	Service    string
+	Number     int
+}
+
+// Group is a target group with its owner.
+type Group struct {
+	Key
+	Targets []*object.Target
+	// Owner is the daemon that owns the group; "" when no daemon is alive.
+	Owner string
+}
+
+// Serves says whether a target of the group is configured for a version and is
+// not excluded.
+func (g *Group) Serves(version string, exclude []string) bool {
+	for _, t := range g.Targets {
+		if !t.Leaving && slices.Contains(t.Versions, version) && !slices.Contains(exclude, t.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// Topology holds the groups of one data centre.
+type Topology struct {
+	// DataCentre is the data centre that the groups are in.
+	DataCentre string
+	groups     []Group
+	byService  map[string][]*Group
+	byKey      map[Key]*Group
+}
+
+// Build derives the groups of a data centre.
+func Build(index *object.Index, dataCentre string, daemons []string) *Topology {
+	names := make(map[string][]string)
+	for i := range index.Set.Services {
+		service := index.Set.Services[i].Name
+		for _, target := range index.TargetsIn(service, dataCentre) {
+			names[service] = append(names[service], target.Name)
+		}
+	}
+	assigned := owner.Assign(names, daemons)
+	t := &Topology{
+		DataCentre: dataCentre,
+		groups:     make([]Group, len(assigned)),
+		byService:  make(map[string][]*Group),
+		byKey:      make(map[Key]*Group, len(assigned)),
+	}
+	for i, a := range assigned {
+		t.add(i, index, a)
+	}
+	return t
+}
+
+func (t *Topology) add(i int, index *object.Index, a owner.Assignment) {
+	group := &t.groups[i]
+	group.Key = Key{DataCentre: t.DataCentre, Service: a.Service, Number: a.Number}
+	group.Owner = a.Daemon
+	for _, name := range a.Targets {
+		group.Targets = append(group.Targets, index.Target(name))
+	}
+	t.byService[a.Service] = append(t.byService[a.Service], group)
+	t.byKey[group.Key] = group
+}
+
+// Groups returns the groups of a service.
+func (t *Topology) Groups(service string) []*Group {
+	return t.byService[service]
+}
+
+// Group returns one group, or nil.
+func (t *Topology) Group(key Key) *Group {
+	return t.byKey[key]
+}
+
+// OwnedBy returns the groups that a daemon owns.
+func (t *Topology) OwnedBy(daemon string) []*Group {
+	var owned []*Group
+	for i := range t.groups {
+		if t.groups[i].Owner == daemon {
+			owned = append(owned, &t.groups[i])
+		}
+	}
+	return owned
+}
