Add quarantine: suspects, conviction after two lost targets, bursts excused

A fingerprint in flight on two lost targets is held for one burst window and then convicted. Losses of three or more targets at once are no evidence.

--- /dev/null
+++ b/quarantine/book.go
@@ -0,0 +1,260 @@
+package quarantine
+
+import (
+	"container/list"
+	"slices"
+	"time"
+)
+
+// Book holds the suspects and convicted requests that one daemon knows.
+type Book struct {
+	options Options
+	records map[uint64]*list.Element
+	// lists hold the records of each class, oldest first.
+	lists [classes]*list.List
+	// recent are the losses of the last SameLoss, oldest first.
+	recent []*loss
+	held   map[uint64]*record
+}
+
+// New returns an empty book.
+func New(options Options) *Book {
+	b := &Book{options: options.withDefaults(), records: map[uint64]*list.Element{}, held: map[uint64]*record{}}
+	for i := range b.lists {
+		b.lists[i] = list.New()
+	}
+	return b
+}
+
+// Check returns the state of a fingerprint as of the last call that took a time.
+func (b *Book) Check(fingerprint uint64) State {
+	e, ok := b.records[fingerprint]
+	if !ok {
+		return Clear
+	}
+	return e.Value.(*record).state
+}
+
+// Len returns the number of fingerprints in the book.
+func (b *Book) Len() int {
+	return len(b.records)
+}
+
+// TargetLost records that a target was lost while the given fingerprints were
+// in flight on it, and returns the notices for the other daemons.
+func (b *Book) TargetLost(now time.Time, target string, inFlight []uint64) []Notice {
+	out := b.Tick(now)
+	l := b.lossOf(now, target)
+	fresh := b.addMembers(l, inFlight)
+	if l.explained {
+		return out
+	}
+	out = append(out, b.accuse(now, l, fresh)...)
+	return append(out, b.excuseBurst(now)...)
+}
+
+// Finished records that a request ran to its end, which clears a suspect.
+func (b *Book) Finished(now time.Time, fingerprint uint64) []Notice {
+	r := b.find(fingerprint)
+	if r == nil || (r.state != Suspect && r.state != Held) {
+		return nil
+	}
+	return []Notice{b.clear(now, r)}
+}
+
+// Tick decides held fingerprints and drops expired ones. It is called at least
+// every 250 ms, so that a conviction reaches all daemons within 2 s.
+func (b *Book) Tick(now time.Time) []Notice {
+	b.expire(now)
+	var due []*record
+	for _, r := range b.held {
+		if !now.Before(r.heldUntil) {
+			due = append(due, r)
+		}
+	}
+	// The record that is held longest is decided first; the order decides which
+	// of two held suspects explains a loss that they share.
+	slices.SortFunc(due, func(x, y *record) int {
+		if c := x.heldUntil.Compare(y.heldUntil); c != 0 {
+			return c
+		}
+		return len(x.evidence[0].members) - len(y.evidence[0].members)
+	})
+	var out []Notice
+	for _, r := range due {
+		out = append(out, b.decide(now, r)...)
+	}
+	return out
+}
+
+// addMembers adds fingerprints to a loss and returns those that are new to it.
+func (b *Book) addMembers(l *loss, inFlight []uint64) []uint64 {
+	var fresh []uint64
+	for _, fp := range inFlight {
+		if slices.Contains(l.members, fp) {
+			continue
+		}
+		l.members = append(l.members, fp)
+		fresh = append(fresh, fp)
+		if b.Check(fp) == Convicted {
+			l.explained = true
+		}
+	}
+	return fresh
+}
+
+// accuse adds a loss to the evidence against fingerprints that were in flight.
+func (b *Book) accuse(now time.Time, l *loss, fresh []uint64) []Notice {
+	var others []uint64
+	for _, fp := range fresh {
+		if s := b.Check(fp); s == Suspect || s == Held {
+			l.prior = append(l.prior, fp)
+		} else {
+			others = append(others, fp)
+		}
+	}
+	switch len(l.prior) {
+	case 0:
+		return b.suspectAll(now, l, others)
+	case 1:
+		// The one suspect explains the loss for as long as it is held.
+		return b.hold(now, b.find(l.prior[0]), l)
+	}
+	// Which of the suspects did it is unknown: all of them stay suspects.
+	var out []Notice
+	for _, fp := range l.prior {
+		if r := b.find(fp); r != nil {
+			out = append(out, b.unhold(r, l)...)
+		}
+	}
+	return append(out, b.suspectAll(now, l, l.members)...)
+}
+
+// suspectAll makes fingerprints suspects because of a loss.
+func (b *Book) suspectAll(now time.Time, l *loss, fingerprints []uint64) []Notice {
+	var out []Notice
+	for _, fp := range fingerprints {
+		r := b.need(now, fp)
+		if r.state == Convicted || slices.Contains(r.evidence, l) || (l.burst && !r.excused) {
+			continue
+		}
+		r.evidence = append(r.evidence, l)
+		if r.state == Clear {
+			b.set(now, r, Suspect)
+		}
+		out = append(out, Notice{Fingerprint: fp, State: r.state, Targets: r.targets()})
+	}
+	return out
+}
+
+// hold keeps the only suspect of a lost target from running until it is decided.
+func (b *Book) hold(now time.Time, r *record, l *loss) []Notice {
+	if !slices.Contains(r.evidence, l) {
+		r.evidence = append(r.evidence, l)
+	}
+	r.judge = true
+	r.heldFor = l
+	if r.state != Held {
+		r.heldUntil = now.Add(b.options.BurstWindow)
+		b.set(now, r, Held)
+	}
+	return []Notice{{Fingerprint: r.fingerprint, State: Held, Targets: r.targets()}}
+}
+
+// unhold makes a held record a suspect again when the loss that it is held for
+// had other suspects too.
+func (b *Book) unhold(r *record, l *loss) []Notice {
+	if r.state != Held || r.heldFor != l {
+		return nil
+	}
+	b.set(r.since, r, Suspect)
+	return []Notice{{Fingerprint: r.fingerprint, State: Suspect, Targets: r.targets()}}
+}
+
+// decide ends the hold of a record.
+func (b *Book) decide(now time.Time, r *record) []Notice {
+	if r.state != Held {
+		return nil
+	}
+	if r.judge && len(r.evidence) >= 2 {
+		return b.convict(now, r)
+	}
+	b.set(now, r, Suspect)
+	out := []Notice{{Fingerprint: r.fingerprint, State: Suspect, Targets: r.targets()}}
+	if l := r.heldFor; r.judge && !l.burst && slices.Contains(r.evidence, l) {
+		// The suspicion lost its earlier evidence, so it explains nothing.
+		out = append(out, b.suspectAll(now, l, l.members)...)
+	}
+	return out
+}
+
+// convict convicts a record and drops the losses that it explains from the
+// evidence against others.
+func (b *Book) convict(now time.Time, r *record) []Notice {
+	b.set(now, r, Convicted)
+	out := []Notice{{Fingerprint: r.fingerprint, State: Convicted, Targets: r.targets()}}
+	for _, l := range r.evidence {
+		l.explained = true
+		out = append(out, b.withdraw(now, l, func(*record) bool { return true })...)
+	}
+	return out
+}
+
+// withdraw removes a loss from the evidence against the suspects that applies
+// selects.
+func (b *Book) withdraw(now time.Time, l *loss, applies func(*record) bool) []Notice {
+	var out []Notice
+	for _, fp := range l.members {
+		r := b.find(fp)
+		if r == nil || r.state == Convicted || !slices.Contains(r.evidence, l) || !applies(r) {
+			continue
+		}
+		if len(r.evidence) == 1 {
+			out = append(out, b.clear(now, r))
+			continue
+		}
+		r.evidence = slices.DeleteFunc(r.evidence, func(other *loss) bool { return other == l })
+		r.forgive(now, l.target)
+		out = append(out, Notice{Fingerprint: fp, State: Clear, Targets: []string{l.target}})
+	}
+	return out
+}
+
+// excuseBurst withdraws the losses of the last burst window when there are so
+// many that a common cause is likely.
+func (b *Book) excuseBurst(now time.Time) []Notice {
+	start := slices.IndexFunc(b.recent, func(l *loss) bool { return now.Sub(l.at) <= b.options.BurstWindow })
+	if start < 0 {
+		return nil
+	}
+	burst := b.recent[start:]
+	unexplained := func(l *loss) bool { return !l.explained && len(l.prior) == 0 }
+	if len(burst) < b.options.BurstTargets || !slices.ContainsFunc(burst, unexplained) {
+		return nil
+	}
+	var out []Notice
+	for _, l := range burst {
+		if l.burst {
+			continue
+		}
+		l.burst = true
+		// A burst never convicts, and makes suspects only of requests that were
+		// in flight in a burst before.
+		out = append(out, b.withdraw(now, l, func(r *record) bool { return !r.excused || r.state == Held })...)
+		for _, fp := range l.members {
+			if r := b.need(now, fp); r.state != Convicted {
+				r.excused = true
+			}
+		}
+	}
+	return out
+}
+
+// clear ends a suspicion.
+func (b *Book) clear(now time.Time, r *record) Notice {
+	n := Notice{Fingerprint: r.fingerprint, State: Clear, Targets: r.targets()}
+	r.forgive(now, n.Targets...)
+	r.evidence = nil
+	b.set(now, r, Clear)
+	return n
+}
