--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -13,6 +13,8 @@
 	ConfigInForce       Event = 1101
 	ConfigPublished     Event = 1102
 	ConfigReadFailed    Event = 1103
+	OperatorAction      Event = 1104
+	OperatorRefused     Event = 1105
 	SessionUp           Event = 1201
 	SessionDown         Event = 1202
 	MemberChanged       Event = 1203
@@ -39,6 +41,8 @@
 	ConfigInForce:       {logrus.InfoLevel, "configuration generation is in force"},
 	ConfigPublished:     {logrus.InfoLevel, "configuration generation was published"},
 	ConfigReadFailed:    {logrus.WarnLevel, "configuration could not be read"},
+	OperatorAction:      {logrus.InfoLevel, "operator changed the configuration"},
+	OperatorRefused:     {logrus.WarnLevel, "administration request without a valid operator token"},
 	SessionUp:           {logrus.InfoLevel, "session with a peer is up"},
 	SessionDown:         {logrus.WarnLevel, "session with a peer ended"},
 	MemberChanged:       {logrus.InfoLevel, "member changed its state"},
