--- a/admission/queue.go
+++ b/admission/queue.go
@@ -24,6 +24,14 @@
 	Tier    int
 }
 
+// Allow returns the targets of free that a tier may use.
+func (w Withheld) Allow(tier int, free uint64) uint64 {
+	if tier > w.Tier {
+		return free &^ w.Targets
+	}
+	return free
+}
+
 // Item is one waiting request. The exported fields are set by the caller before
 // Add and must not change while the item waits, except through Reclassify.
 type Item[V any] struct {
@@ -104,11 +112,7 @@
 // returns nil when there is none.
 func (q *Queue[V]) Next(free, exclusive uint64, withheld Withheld) *Item[V] {
 	for i, t := range q.tiers {
-		usable := free
-		if i > withheld.Tier {
-			usable &^= withheld.Targets
-		}
-		if item := t.next(usable, exclusive); item != nil {
+		if item := t.next(withheld.Allow(i, free), exclusive); item != nil {
 			return item
 		}
 	}
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -41,26 +41,34 @@
 		if item == nil {
 			break
 		}
-		j := item.Value
-		if g.grant(now, j, free&^blocked, exclusive) {
+		allowed := withheld.Allow(item.Tier, free&^blocked)
+		j := g.rescue(item, allowed, exclusive)
+		if g.grant(now, j, allowed, exclusive) {
 			continue
 		}
-		usable := item.Class.Targets & free
+		usable := j.item.Class.Targets & free
 		if len(aside) == maxAside || j.passed >= maxPassed {
 			blocked |= usable
 			continue
 		}
-		j.passed++
 		withheld.Targets |= usable
-		withheld.Tier = min(withheld.Tier, item.Tier)
-		g.queue.Remove(item)
+		withheld.Tier = min(withheld.Tier, j.item.Tier)
 		aside = append(aside, j)
+		g.setAside(j)
 	}
 	for _, j := range aside {
+		j.aside = false
 		g.queue.Add(&j.item)
 	}
 }
 
+// setAside passes a request over until the end of the dispatch round.
+func (g *Group) setAside(j *job) {
+	j.passed++
+	j.aside = true
+	g.queue.Remove(&j.item)
+}
+
 // places returns the targets with a free place, and those of them that run no
 // suspect.
 func (g *Group) places() (free, exclusive uint64) {
--- a/owner/group.go
+++ b/owner/group.go
@@ -25,6 +25,8 @@
 	queue   *admission.Queue[*job]
 	// preempting counts the victims that were asked to stop and still run.
 	preempting int
+	// rescued are waiting requests for which work was preempted.
+	rescued []*job
 	// meanWork is the mean work of the requests granted last.
 	meanWork  time.Duration
 	nextSpeed time.Time
@@ -76,6 +78,7 @@
 		return g.classOf(&item.Value.request)
 	})
 	g.refuseStranded()
+	g.rearm(now)
 	return g.finish(now)
 }
 
@@ -92,6 +95,7 @@
 	}
 	t.state = state
 	g.refuseStranded()
+	g.rearm(now)
 	return g.finish(now)
 }
 
@@ -148,6 +152,7 @@
 			g.drop(j)
 		}
 	}
+	g.rearm(now)
 	return g.finish(now)
 }
 
@@ -161,9 +166,8 @@
 	if old != nil {
 		g.drop(old)
 	}
-	j := &job{request: h.Request}
-	j.request.Entry = entry
-	j.request.Tier = clampTier(j.request.Tier)
+	h.Request.Entry = entry
+	j := g.newJob(now, h.Request)
 	g.register(j)
 	g.place(now, j, t)
 }
--- a/owner/job.go
+++ b/owner/job.go
@@ -28,8 +28,10 @@
 	inBacklog bool
 	// preempting is set from the Preempt decision to the release.
 	preempting bool
-	// victims counts the preemptions that were made while this job waited.
-	victims int
+	// lastPreempt is the time at which work was last preempted for this job.
+	lastPreempt time.Time
+	// aside marks a job that a dispatch round passed over for now.
+	aside bool
 	// passed counts how often others went before this job because it did not fit.
 	passed int
 
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -3,8 +3,14 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/marjoramflow/marjoramflow/admission"
 )
 
+// victimTimeout is the time that the entry of a victim gets to stop it before
+// another one is preempted for the same request.
+const victimTimeout = 300 * time.Millisecond
+
 // hasVictims reports whether lower-tier work that could make room for j runs on
 // a target that j can use.
 func (g *Group) hasVictims(j *job, usable uint64) bool {
@@ -16,6 +22,22 @@
 	return false
 }
 
+// lowerRuns reports whether preemptible lower-tier work runs on the targets,
+// whether or not it could make room now.
+func (g *Group) lowerRuns(j *job, usable uint64) bool {
+	for _, t := range g.targets {
+		if t.bit&usable == 0 {
+			continue
+		}
+		for _, list := range t.victims[j.request.Tier+1:] {
+			if list.count > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // canMakeRoom reports whether preempting all lower-tier work on a target would
 // make room for j.
 func (g *Group) canMakeRoom(t *target, j *job) bool {
@@ -60,7 +82,36 @@
 		}
 		g.preempt(v)
 	}
-	j.victims++
+	j.lastPreempt = now
+	if !slices.Contains(g.rescued, j) {
+		g.rescued = append(g.rescued, j)
+	}
+}
+
+// mayPreemptNow limits preemption for a waiting request: an urgent one waits for
+// its victim before it takes another, any other one for all victims.
+func (g *Group) mayPreemptNow(now time.Time, j *job, urgent bool) bool {
+	if urgent {
+		return now.Sub(j.lastPreempt) >= victimTimeout
+	}
+	return g.preempting == 0
+}
+
+// rescue returns the request for which work was preempted, if it may go before
+// item: it has the same tier and can use a free target. The freed place is extra
+// room, so the others of its tier lose nothing.
+func (g *Group) rescue(item *admission.Item[*job], free, exclusive uint64) *job {
+	g.rescued = slices.DeleteFunc(g.rescued, func(j *job) bool { return !j.item.Waiting() && !j.aside })
+	for _, j := range g.rescued {
+		usable := j.item.Class.Targets & free
+		if j.request.Suspect {
+			usable &= exclusive
+		}
+		if usable != 0 && j.item.Tier == item.Tier && !j.aside {
+			return j
+		}
+	}
+	return item.Value
 }
 
 func (g *Group) preempt(victim *job) {
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -27,16 +27,7 @@
 		return g.finish(now)
 	}
 	g.refreshSpeeds(now)
-	j := &job{request: request}
-	j.request.Tier = clampTier(request.Tier)
-	j.item = admission.Item[*job]{
-		Value:   j,
-		Account: request.Account,
-		Tier:    j.request.Tier,
-		Class:   g.classOf(&j.request),
-		Arrived: now,
-	}
-	j.item.Work = g.workOf(&j.request, j.item.Class.Targets)
+	j := g.newJob(now, request)
 	if reason, retryAfter := g.admit(now, j); reason != ReasonNone {
 		g.decide(Refuse, j, Decision{Reason: reason, RetryAfter: retryAfter})
 		return g.finish(now)
@@ -49,6 +40,20 @@
 	return out
 }
 
+func (g *Group) newJob(now time.Time, request Request) *job {
+	j := &job{request: request}
+	j.request.Tier = clampTier(request.Tier)
+	j.item = admission.Item[*job]{
+		Value:   j,
+		Account: request.Account,
+		Tier:    j.request.Tier,
+		Class:   g.classOf(&j.request),
+		Arrived: now,
+	}
+	j.item.Work = g.workOf(&j.request, j.item.Class.Targets)
+	return j
+}
+
 // repeat answers a Reserve that was sent again, because a reply was lost.
 func (g *Group) repeat(j *job) {
 	if j.target == nil {
@@ -79,6 +84,10 @@
 		g.refuse(j, ReasonNoTarget, 0)
 		return
 	}
+	if !now.Before(j.request.Deadline) {
+		g.refuse(j, ReasonDeadline, 0)
+		return
+	}
 	j.item.Timer = g.firstTimer(now, j)
 	g.queue.Add(&j.item)
 	g.decide(Queued, j, Decision{})
@@ -178,25 +187,37 @@
 	last := g.lastStart(j)
 	usable := j.item.Class.Targets & g.upMask()
 	urgent := !now.Before(g.urgentAt(j))
-	if g.hasVictims(j, usable) && (urgent || g.preempting == 0) {
+	victims := g.hasVictims(j, usable)
+	if victims && g.mayPreemptNow(now, j, urgent) {
 		g.preemptFor(now, j)
-	} else if !now.Before(last) {
+	} else if !victims && !now.Before(last) {
 		g.refuse(j, ReasonExpired, minRetryAfter)
 		return
 	}
 	g.queue.SetTimer(&j.item, g.nextTimer(now, j, usable, last))
 }
 
-// nextTimer is the next time to look at a waiting request. While nothing of a
-// lower tier runs that it could displace, that is the time when it is too late:
-// no lower tier is dispatched to these targets before it.
+// nextTimer is the next time to look at a waiting request. While no lower tier
+// runs on its targets, that is the time when it becomes urgent and then the time
+// when it is too late: no lower tier is dispatched to these targets before it.
 func (g *Group) nextTimer(now time.Time, j *job, usable uint64, last time.Time) time.Time {
-	if g.hasVictims(j, usable) || !now.Before(last) {
+	if g.lowerRuns(j, usable) || !now.Before(last) {
 		return earlier(now.Add(preemptRetry), j.request.Deadline)
 	}
+	if urgent := g.urgentAt(j); now.Before(urgent) {
+		return urgent
+	}
 	return last
 }
 
+// rearm makes all waiting requests look for victims again, after a change that
+// can bring lower-tier work to targets that they can use.
+func (g *Group) rearm(now time.Time) {
+	g.queue.EachClass(func(admission.Class) bool { return true }, func(item *admission.Item[*job]) {
+		g.queue.SetTimer(item, earlier(item.Timer, now.Add(preemptRetry)))
+	})
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/owner/types.go
+++ b/owner/types.go
@@ -89,7 +89,8 @@
 	Grant DecisionKind = iota
 	// Queued tells that the request waits here.
 	Queued
-	// Refuse tells that the request does not run here and has not run.
+	// Refuse tells that the request does not run here. It has not run, unless
+	// it was preempted before.
 	Refuse
 	// Preempt asks the entry to stop a granted request and to release it with
 	// OutcomePreempted.
