--- /dev/null
+++ b/retry/policy.go
@@ -0,0 +1,83 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// BackoffBase is the largest delay before the first retry.
+	BackoffBase = 50 * time.Millisecond
+	// BackoffCap is the largest delay before any retry.
+	BackoffCap = 2 * time.Second
+	// DefaultMaxAttempts bounds the attempts of one request. Five attempts pass
+	// two lost targets of a crash request and still leave two for other faults.
+	DefaultMaxAttempts = 5
+)
+
+// Random returns a uniform number in [0, 1).
+type Random func() float64
+
+// Policy decides about the retries of one service.
+type Policy struct {
+	Budget      *Budget
+	MaxAttempts int
+	Random      Random
+}
+
+// NewPolicy returns a policy with the default limits.
+func NewPolicy() *Policy {
+	return &Policy{
+		Budget:      NewBudget(DefaultRatio, DefaultMinPerSecond),
+		MaxAttempts: DefaultMaxAttempts,
+		Random:      rand.Float64,
+	}
+}
+
+// Decide returns what to do after an attempt, and takes a retry from the budget
+// when the action needs one.
+func (p *Policy) Decide(now time.Time, a Attempt) Action {
+	action := Decide(a)
+	switch action.Kind {
+	case RetryElsewhere, RetryAfter, Resume:
+	default:
+		return action
+	}
+	if a.Number >= p.MaxAttempts {
+		return giveUp(a)
+	}
+	action.Delay += Backoff(a.Number, p.Random)
+	if !Fits(a.Remaining, action.Delay, a.Expected) {
+		return giveUp(a)
+	}
+	if action.Charged && !p.Budget.TryRetry(now) {
+		return giveUp(a)
+	}
+	return action
+}
+
+// Backoff returns the delay before the attempt after attempt number: full
+// jitter, uniform between 0 and 50 ms doubled for each earlier retry, up to 2 s.
+func Backoff(number int, random Random) time.Duration {
+	limit := BackoffBase
+	for i := 1; i < number && limit < BackoffCap; i++ {
+		limit *= 2
+	}
+	return time.Duration(random() * float64(min(limit, BackoffCap)))
+}
+
+// Fits reports whether an attempt that starts after delay and takes the
+// expected time ends before the deadline.
+func Fits(remaining, delay, expected time.Duration) bool {
+	return remaining > 0 && delay+expected < remaining
+}
+
+// AttemptTimeout returns how long an attempt may take. A repeatable attempt
+// leaves the expected time of another one, when it then still has twice its own
+// expected time.
+func AttemptTimeout(remaining, expected time.Duration, repeatable bool) time.Duration {
+	if repeatable && expected > 0 && remaining >= 3*expected {
+		return remaining - expected
+	}
+	return max(remaining, 0)
+}
