--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -47,8 +47,9 @@
 
 // Lease is the right to act, as the holder knows it.
 type Lease struct {
-	Held  bool
-	Fence uint64
+	Held   bool
+	Holder string
+	Fence  uint64
 	// Left is the rest of the term.
 	Left time.Duration
 	// Since is when this process got the fencing number.
@@ -100,6 +101,7 @@
 	Target   *object.Target
 	Version  string
 	Fence    uint64
+	Timeout  time.Duration
 	Deadline time.Time
 }
 
@@ -242,7 +244,7 @@
 }
 
 func write(in *Input, row Row) []Action {
-	row.Fence = in.Lease.Fence
+	row.Holder, row.Fence = in.Lease.Holder, in.Lease.Fence
 	return []Action{WriteRow{Row: row, IfVersion: in.RowVersion}}
 }
 
@@ -253,5 +255,11 @@
 func (m *Machine) enter(in *Input, phase Phase, step int, share uint32) []Action {
 	row := in.Row
 	row.Phase, row.Step, row.Share = phase, step, share
+	row.Missing = nil
+	for i := range in.Targets {
+		if t := &in.Targets[i]; !t.Loaded {
+			row.Missing = append(row.Missing, t.Object.Name)
+		}
+	}
 	return write(in, row)
 }
--- a/rollout/row.go
+++ b/rollout/row.go
@@ -46,8 +46,13 @@
 	Step int `json:"step"`
 	// Share of the new version in 1/10,000.
 	Share uint32 `json:"share"`
-	// Fence is the fencing number of the holder that wrote the row.
-	Fence uint64 `json:"fence"`
+	// Holder is the daemon that wrote the row, and Fence its fencing number.
+	// Evidence is sent to it.
+	Holder string `json:"holder"`
+	Fence  uint64 `json:"fence"`
+	// Missing lists targets that had not loaded the new version when the row was
+	// written; they get no requests for it.
+	Missing []string `json:"missing,omitempty"`
 	// Deadline is fixed when the attempt starts.
 	Deadline time.Time `json:"deadline"`
 	// Started is the time of day at which the attempt was recorded.
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -126,7 +126,8 @@
 		}
 		deadline := in.Now.Add(min(m.Options.OrderTimeout, in.Lease.Left))
 		out = append(out, SendOrder{
-			Target: t.Object, Version: in.Move.To, Fence: in.Lease.Fence, Deadline: deadline,
+			Target: t.Object, Version: in.Move.To, Fence: in.Lease.Fence,
+			Timeout: m.Options.OrderTimeout, Deadline: deadline,
 		})
 	}
 	return out
--- a/rollout/shares.go
+++ b/rollout/shares.go
@@ -59,7 +59,11 @@
 	From    string
 	To      string
 	Attempt int
-	Fence   uint64
+	// Holder gets the evidence; Fence changes when the holder does.
+	Holder string
+	Fence  uint64
+	// Missing lists targets that have not loaded the new version.
+	Missing []string
 }
 
 // NewShares returns shares on the system clock without a configuration.
@@ -176,6 +180,26 @@
 	return c.reason, true
 }
 
+// KnownRow is a row as it is passed to a peer.
+type KnownRow struct {
+	Move     string
+	Sequence uint64
+	Row      []byte
+}
+
+// Known returns all rows and cuts, for a peer whose session has just begun.
+func (s *Shares) Known() (rows []KnownRow, cuts []CutShare) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for move, seen := range s.rows {
+		rows = append(rows, KnownRow{Move: move, Sequence: seen.sequence, Row: seen.row.Encode()})
+	}
+	for move, c := range s.cuts {
+		cuts = append(cuts, CutShare{Move: move, Attempt: c.attempt, Reason: c.reason})
+	}
+	return rows, cuts
+}
+
 // Active returns the attempts of a service whose evidence is counted. The result
 // is shared and must not be changed. It takes no lock.
 func (s *Shares) Active(service string) []ActiveMove {
@@ -225,7 +249,8 @@
 	next.services[m.Service] = p
 	if !row.Phase.Final() {
 		next.active[m.Service] = append(next.active[m.Service], ActiveMove{
-			Move: m.Name, Service: m.Service, From: m.From, To: m.To, Attempt: row.Attempt, Fence: row.Fence,
+			Move: m.Name, Service: m.Service, From: m.From, To: m.To,
+			Attempt: row.Attempt, Holder: row.Holder, Fence: row.Fence, Missing: row.Missing,
 		})
 	}
 }
