Add the administration API and its client

Publications are conditional on a generation. The client tries servers in turn and resolves a lost answer through the conflict that a second try meets.

--- /dev/null
+++ b/adminapi/client_test.go
@@ -0,0 +1,120 @@
+package adminapi
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/settings"
+)
+
+// Guards against a lost answer that is reported as a conflict or as a failure
+// although the change took effect (F5).
+func TestLostAnswerIsResolvedByTheNextServer(t *testing.T) {
+	// The first server forwards the request to the backend and drops the answer.
+	var f *fixture
+	breaker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		request, _ := http.NewRequest(r.Method, f.url+r.URL.Path, bytes.NewReader(body))
+		request.Header = r.Header
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			response.Body.Close()
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer breaker.Close()
+	f = newFixture(t, breaker.URL)
+	answer, err := f.client.Publish(context.Background(), 0, exampleSet(t))
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Generation, uint64(1))
+
+	alone := newTestClient(t, token, breaker.URL)
+	_, err = alone.Publish(context.Background(), 1, exampleSet(t))
+	assert.Assert(t, errors.Is(err, ErrOutcomeUnknown), "%v", err)
+}
+
+// Guards against a client that gives up at the first server, and against one
+// that repeats a refusal elsewhere.
+func TestServersAreTriedInTurn(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := closed.Addr().String()
+	closed.Close()
+	f := newFixture(t, address)
+	version, err := f.client.Version(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, version.Daemon, "entry-1")
+
+	only := newTestClient(t, token, address)
+	_, err = only.Publish(context.Background(), 0, exampleSet(t))
+	assert.ErrorContains(t, err, "connection refused")
+	assert.Assert(t, !errors.Is(err, ErrOutcomeUnknown), "the server was not reached, so nothing took effect")
+}
+
+// Guards against failures of the platform that look like success or lose the
+// difference between "had no effect" and "may have had one".
+func TestPlatformFailures(t *testing.T) {
+	f := newFixture(t)
+	f.backend.publishFault = platform.ErrUnavailable
+	_, err := f.client.Publish(context.Background(), 0, exampleSet(t))
+	assert.Equal(t, codeOfError(err), CodeUnavailable)
+	assert.Assert(t, !errors.Is(err, ErrOutcomeUnknown))
+	f.backend.publishFault, f.backend.afterEffect = platform.ErrUnknown, true
+	_, err = f.client.Publish(context.Background(), 0, exampleSet(t))
+	assert.Assert(t, errors.Is(err, ErrOutcomeUnknown), "%v", err)
+}
+
+// handlerTransport answers requests without a network, so that synctest's clock
+// can advance while the client waits.
+type handlerTransport struct{ handler http.Handler }
+
+func (h handlerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	h.handler.ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+// Guards against a status that hides daemons without the generation.
+func TestStatusAndWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := newMemoryBackend()
+		backend.generations = append(backend.generations, exampleSet(t))
+		server := New(Options{Backend: backend, Operators: map[string]settings.Secret{"ana": settings.NewSecret(token)}})
+		client := newTestClient(t, token, "10.0.0.1:8081")
+		client.http.Transport = handlerTransport{server.Handler()}
+		ahead := DaemonStatus{Name: "entry-1", Reachable: true, Generation: 1}
+		lagging := DaemonStatus{Name: "entry-2", Reachable: true, Generation: 0}
+		backend.setDaemons(ahead, lagging, DaemonStatus{Name: "entry-3", Generation: 0})
+		status, err := client.Status(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, status.Behind, []string{"entry-2"})
+		assert.DeepEqual(t, status.Unreachable, []string{"entry-3"})
+
+		short, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		status, err = client.WaitInForce(short, 1, time.Second)
+		assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
+		assert.DeepEqual(t, status.Behind, []string{"entry-2"})
+
+		// A later publication must not make the wait fail.
+		start := time.Now()
+		time.AfterFunc(3*time.Second, func() {
+			ahead.Generation, lagging.Generation = 2, 1
+			backend.setDaemons(ahead, lagging)
+		})
+		status, err = client.WaitInForce(t.Context(), 1, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, len(status.Behind), 0)
+		assert.Assert(t, time.Since(start) <= 4*time.Second)
+	})
+}
--- /dev/null
+++ b/adminapi/errors.go
@@ -0,0 +1,82 @@
+package adminapi
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/marjoramflow/marjoramflow/object"
+)
+
+// Code is the machine-readable kind of an error answer.
+type Code string
+
+// Codes of error answers.
+const (
+	// CodeInvalid: the request is malformed.
+	CodeInvalid Code = "invalid"
+	// CodeUnauthorized: the operator's token is missing or wrong.
+	CodeUnauthorized Code = "unauthorized"
+	// CodeNotFound: the object, generation or path does not exist.
+	CodeNotFound Code = "notFound"
+	// CodeProblems: the set has problems; nothing was published.
+	CodeProblems Code = "problems"
+	// CodeConflict: another generation is current; nothing was published.
+	CodeConflict Code = "conflict"
+	// CodeUnavailable: the call had no effect; another daemon may answer it.
+	CodeUnavailable Code = "unavailable"
+	// CodeUnknown: the call may have had an effect.
+	CodeUnknown Code = "unknown"
+	// CodeInternal: a fault of the daemon.
+	CodeInternal Code = "internal"
+)
+
+// statuses are the HTTP statuses of the codes.
+var statuses = map[Code]int{
+	CodeInvalid:      http.StatusBadRequest,
+	CodeUnauthorized: http.StatusUnauthorized,
+	CodeNotFound:     http.StatusNotFound,
+	CodeProblems:     http.StatusUnprocessableEntity,
+	CodeConflict:     http.StatusConflict,
+	CodeUnavailable:  http.StatusServiceUnavailable,
+	CodeUnknown:      http.StatusGatewayTimeout,
+	CodeInternal:     http.StatusInternalServerError,
+}
+
+// Error is an error answer of the API.
+type Error struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Problems is set for CodeProblems.
+	Problems object.Problems `json:"problems,omitempty"`
+	// Conflict is set for CodeConflict.
+	Conflict *Conflict `json:"conflict,omitempty"`
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Code == CodeProblems {
+		return e.Message + "\n" + (&object.ProblemsError{Problems: e.Problems}).Error()
+	}
+	return e.Message
+}
+
+// Conflict says what was published since the operator's base.
+type Conflict struct {
+	Base uint64 `json:"base" yaml:"base"`
+	// Current is the generation that is current.
+	Current uint64 `json:"current" yaml:"current"`
+	// Changes lead from the base to the current generation.
+	Changes []object.Change `json:"changes" yaml:"changes"`
+	// ChangesUnknown says that one of the two generations could not be read, so
+	// that Changes is empty.
+	ChangesUnknown bool `json:"changesUnknown,omitempty" yaml:"changesUnknown,omitempty"`
+	// Same says that the current generation has the content of the request, for
+	// example because an earlier try of it took effect.
+	Same bool `json:"same,omitempty" yaml:"same,omitempty"`
+	// Digest is the digest of the current generation; empty when it is unknown.
+	Digest string `json:"digest,omitempty" yaml:"digest,omitempty"`
+}
+
+func newError(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
+}
