--- /dev/null
+++ b/membership/table_test.go
@@ -0,0 +1,224 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/platform"
+)
+
+var sizes = map[string]map[string]int{
+	"4":   {"a": 4},
+	"18":  {"a": 6, "b": 6, "c": 6},
+	"160": {"a": 160},
+}
+
+// Guards against daemons that never agree on the live list after a common
+// start, and against one that stays listed after it was killed.
+func TestTablesConverge(t *testing.T) {
+	t.Parallel()
+	for name, size := range sizes {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, 1, size)
+			s.loss = 0.1
+			started := s.runUntil(5*time.Second, s.agree(everyone))
+			s.run(20*time.Second - started)
+			s.kill("a-001")
+			removed := s.runUntil(suspectAfter+GracePeriod+3*time.Second, s.agree(everyone))
+			s.nodes["a-002"].leave(s)
+			left := s.runUntil(3*time.Second, s.agree(func(n *simNode) bool { return n.name != "a-002" }))
+			s.kill("a-002")
+			s.run(time.Second)
+			s.boot("a-001", "a")
+			back := s.runUntil(5*time.Second, s.agree(everyone))
+			s.noWrongRemovals()
+			t.Logf("10%% loss: start %v, kill to removal %v, leave %v, return %v", started, removed, left, back)
+		})
+	}
+}
+
+func (n *simNode) leave(s *simulation) {
+	s.act(n, n.table.Leave(s.now))
+}
+
+// Guards against a removal caused by a short pause, and against a daemon that
+// stays removed after a long one.
+func TestPausedDaemonRefutesItsSuspicion(t *testing.T) {
+	s := newSimulation(t, 2, map[string]int{"a": 20})
+	s.run(15 * time.Second)
+	before := s.nodes["a-003"].table.Self().Incarnation
+	s.pause(s.nodes["a-003"], 8*time.Second)
+	for range 120 {
+		s.run(100 * time.Millisecond)
+		got, _ := s.nodes["a-005"].table.Live("a")
+		assert.Assert(t, slices.Contains(got, "a-003"), "removed after a pause of 8 s")
+	}
+	s.runUntil(3*time.Second, s.agree(everyone))
+	assert.Assert(t, s.nodes["a-003"].table.Self().Incarnation > before, "the suspicion was not refuted")
+
+	s.pause(s.nodes["a-003"], 30*time.Second)
+	s.run(20 * time.Second)
+	got, _ := s.nodes["a-005"].table.Live("a")
+	assert.Assert(t, !slices.Contains(got, "a-003"), "still listed after 20 s of silence")
+	s.run(10 * time.Second)
+	back := s.runUntil(5*time.Second, s.agree(everyone))
+	t.Logf("listed everywhere %v after a pause of 30 s", back)
+	s.noWrongRemovals()
+}
+
+// Guards against members that stay removed after a partition heals, and against
+// removals within a data centre because of what the other one believes.
+func TestPartitionHeals(t *testing.T) {
+	t.Parallel()
+	s := newSimulation(t, 3, map[string]int{"a": 40, "b": 40})
+	s.run(15 * time.Second)
+	s.blocked = func(a, b string) bool { return a != b }
+	s.run(120 * time.Second)
+	for _, name := range []string{"a-000", "b-000"} {
+		n := s.nodes[name]
+		got, _ := n.table.Live(n.dataCentre)
+		assert.Equal(t, len(got), 40)
+	}
+	lost, _ := s.nodes["a-000"].table.Live("b")
+	t.Logf("members of the other side still listed after 120 s: %d of 40", len(lost))
+	s.blocked = func(string, string) bool { return false }
+	own := func() string {
+		for _, name := range s.names {
+			n := s.nodes[name]
+			if got, _ := n.table.Live(n.dataCentre); len(got) != 40 {
+				return fmt.Sprintf("%s lists %d of its own data centre", name, len(got))
+			}
+		}
+		return ""
+	}
+	start := s.now
+	for s.agree(everyone)() != "" && s.now.Sub(start) < time.Minute {
+		assert.Equal(t, own(), "")
+		s.run(100 * time.Millisecond)
+	}
+	assert.Equal(t, s.agree(everyone)(), "")
+	t.Logf("healed after %v", s.now.Sub(start))
+}
+
+// Guards against an empty or short VM list that removes daemons that run.
+func TestListThatLosesDaemonsRemovesNone(t *testing.T) {
+	s := newSimulation(t, 4, map[string]int{"a": 30})
+	s.run(15 * time.Second)
+	for _, list := range [][]platform.VM{nil, s.list[:3]} {
+		for _, name := range s.names {
+			s.act(s.nodes[name], s.nodes[name].table.SetList(s.now, list))
+		}
+		s.run(30 * time.Second)
+		assert.Equal(t, s.agree(everyone)(), "")
+	}
+	s.noWrongRemovals()
+}
+
+// Guards against a live list that changes with every return of a daemon whose
+// network fails again and again.
+func TestFlappingDaemonIsDamped(t *testing.T) {
+	s := newSimulation(t, 5, map[string]int{"a": 20})
+	s.run(15 * time.Second)
+	observer := s.nodes["a-005"].table
+	_, first := observer.Live("a")
+	for range 6 {
+		s.pause(s.nodes["a-003"], 16*time.Second)
+		for range 18 {
+			s.run(time.Second)
+			observer.Live("a")
+		}
+	}
+	_, last := observer.Live("a")
+	t.Logf("changes of the live list during 6 returns: %d", last-first)
+	assert.Assert(t, last-first <= 6, "%d changes", last-first)
+	back := s.runUntil(2*dampingLimit, s.agree(everyone))
+	t.Logf("listed again everywhere %v after the last return", back)
+}
+
+// Guards against a version that changes without a change of the list, which
+// would make callers compute their groups again.
+func TestLiveVersionChangesWithTheListOnly(t *testing.T) {
+	s := newSimulation(t, 6, map[string]int{"a": 10})
+	s.run(15 * time.Second)
+	_, before := s.nodes["a-000"].table.Live("a")
+	s.pause(s.nodes["a-003"], 6*time.Second)
+	s.run(20 * time.Second)
+	_, after := s.nodes["a-000"].table.Live("a")
+	assert.Equal(t, before, after)
+}
+
+// Guards against faults in combination: loss, pauses, kills, restarts,
+// partitions and wrong lists in random order. After the faults end, all tables
+// agree, and no running, reachable daemon was removed without a partition.
+func TestRandomFaults(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := newSimulation(t, seed, map[string]int{"a": 12, "b": 9, "c": 4})
+			s.loss = 0.2
+			s.run(12 * time.Second)
+			for range 25 {
+				s.randomFault()
+				s.run(time.Duration(s.random.IntN(4000)) * time.Millisecond)
+			}
+			s.blocked = func(string, string) bool { return false }
+			for i, name := range s.names {
+				if !s.nodes[name].alive {
+					s.boot(name, s.list[i].DataCentre)
+				}
+				s.act(s.nodes[name], s.nodes[name].table.SetList(s.now, s.list))
+			}
+			healed := s.runUntil(2*time.Minute, s.agree(everyone))
+			t.Logf("agreed %v after the last fault", healed)
+		})
+	}
+}
+
+func (s *simulation) randomFault() {
+	name := s.names[s.random.IntN(len(s.names))]
+	n := s.nodes[name]
+	switch s.random.IntN(6) {
+	case 0:
+		s.kill(name)
+	case 1:
+		if !n.alive {
+			s.boot(name, n.dataCentre)
+		}
+	case 2:
+		s.pause(n, time.Duration(s.random.IntN(20_000))*time.Millisecond)
+	case 3:
+		cut := []string{"a", "b", "c"}[s.random.IntN(3)]
+		s.blocked = func(a, b string) bool { return a != b && (a == cut || b == cut) }
+	case 4:
+		s.blocked = func(string, string) bool { return false }
+	case 5:
+		s.act(n, n.table.SetList(s.now, s.list[:s.random.IntN(len(s.list))]))
+	}
+}
+
+// Measures the gossip of a data centre of 160 daemons.
+func TestGossipBytesPerDaemon(t *testing.T) {
+	t.Parallel()
+	const daemons = 160
+	s := newSimulation(t, 7, map[string]int{"a": daemons})
+	s.run(10 * time.Second)
+	t.Logf("start: %.0f B/s per daemon over 10 s", float64(s.bytes)/daemons/10)
+	s.run(20 * time.Second)
+	s.bytes = 0
+	s.run(30 * time.Second)
+	idle := float64(s.bytes) / daemons / 30
+	s.bytes = 0
+	for i := range 6 {
+		s.kill(fmt.Sprintf("a-%03d", i))
+		s.run(5 * time.Second)
+		s.boot(fmt.Sprintf("a-%03d", i), "a")
+		s.run(5 * time.Second)
+	}
+	busy := float64(s.bytes) / daemons / 60
+	t.Logf("without changes: %.0f B/s per daemon; with one restart every 10 s: %.0f B/s", idle, busy)
+	assert.Assert(t, idle < 1000 && busy < 3000)
+}
