--- /dev/null
+++ b/idempotency/table_test.go
@@ -0,0 +1,87 @@
+package idempotency
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/marjoramflow/marjoramflow/platform"
+)
+
+// memory is a table service without faults. Versions come from one counter.
+type memory struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	version uint64
+	commits int
+}
+
+func newMemory() *memory {
+	return &memory{rows: map[string]platform.Row{}}
+}
+
+func (m *memory) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]platform.Row, len(keys))
+	for i, key := range keys {
+		out[i] = m.rows[key]
+		out[i].Key = key
+	}
+	return out, nil
+}
+
+func (m *memory) Commit(_ context.Context, writes ...platform.Write) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(writes) > platform.MaxTransactionRows {
+		panic("transaction is too large")
+	}
+	conflict := &platform.ConflictError{}
+	seen := map[string]bool{}
+	for _, w := range writes {
+		if seen[w.Key] {
+			panic("row written twice in one transaction")
+		}
+		seen[w.Key] = true
+		if !w.Unconditional && m.rows[w.Key].Version != w.IfVersion {
+			conflict.Keys = append(conflict.Keys, w.Key)
+		}
+	}
+	if len(conflict.Keys) > 0 {
+		return conflict
+	}
+	m.version++
+	m.commits++
+	for _, w := range writes {
+		if w.Delete {
+			delete(m.rows, w.Key)
+		} else {
+			m.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: m.version}
+		}
+	}
+	return nil
+}
+
+func (m *memory) List(_ context.Context, prefix string, limit int) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var keys []string
+	for key := range m.rows {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	var out []platform.Row
+	for _, key := range keys[:min(limit, len(keys))] {
+		out = append(out, m.rows[key])
+	}
+	return out, nil
+}
+
+func (m *memory) count(prefix string) int {
+	rows, _ := m.List(context.Background(), prefix, 1<<30)
+	return len(rows)
+}
