--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -18,6 +18,9 @@
 	MaybeSent
 	// Refused means that the target answered with an error status before it ran the request.
 	Refused
+	// Rejected means that the target found the request itself at fault and did not
+	// run it; another target would answer the same.
+	Rejected
 	// Failed means that the target answered with an error status after it may have run the request.
 	Failed
 	// Cut means that the answer ended early.
@@ -32,6 +35,7 @@
 	NotSent:   "not sent",
 	MaybeSent: "maybe sent",
 	Refused:   "refused",
+	Rejected:  "rejected",
 	Failed:    "failed",
 	Cut:       "cut",
 	Stalled:   "stalled",
--- /dev/null
+++ b/bench/e2e/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e
+
+var buildFlags []string
--- /dev/null
+++ b/bench/e2e/path_test.go
@@ -0,0 +1,43 @@
+package e2e
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/bench/internal/caller"
+	"github.com/marjoramflow/marjoramflow/bench/internal/cluster"
+	"github.com/marjoramflow/marjoramflow/bench/standin/plain"
+)
+
+// Guards against a broken path from a caller through any daemon to a target and
+// back: a streamed chat completion is whole, and a reservation runs once.
+func TestRequestIsServedFromStartToFinish(t *testing.T) {
+	ctx, c := start(t, cluster.TwoRegions())
+	client := newCaller("clerks")
+	for _, d := range c.Daemons {
+		r := client.Chat(ctx, d.Callers, caller.Chat{Service: cluster.ModelService, Prompt: "list the panels for " + d.Name, MaxTokens: 20})
+		assert.Equal(t, r.Outcome, caller.Whole, "%+v", r)
+		r = client.Plain(ctx, d.Callers, caller.Plain{Method: http.MethodPost, Path: "/reservations", Body: "panel for " + d.Name})
+		assert.Equal(t, r.Outcome, caller.Whole, "%+v", r)
+	}
+	runs := executions(t, c)
+	for _, d := range c.Daemons {
+		assert.Equal(t, runs["panel for "+d.Name], 1)
+	}
+}
+
+// executions counts how often each body ran on the plain servers.
+func executions(t *testing.T, c *cluster.Cluster) map[string]int {
+	t.Helper()
+	runs := make(map[string]int)
+	for _, s := range c.Plains {
+		var list []plain.Execution
+		assert.NilError(t, s.Get(t.Context(), "/v1/executions", &list))
+		for _, e := range list {
+			runs[e.Body]++
+		}
+	}
+	return runs
+}
--- /dev/null
+++ b/bench/internal/cluster/build.go
@@ -0,0 +1,39 @@
+package cluster
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+)
+
+// Build compiles the binaries into a directory. Tests use it; the demo uses the
+// binaries beside its own.
+func Build(dir string, flags ...string) (Programs, error) {
+	args := append([]string{"build"}, flags...)
+	args = append(args, "-o", dir+string(filepath.Separator),
+		"github.com/marjoramflow/marjoramflow/cmd/marjoramd",
+		"github.com/marjoramflow/marjoramflow/bench/cmd/marjorambench")
+	out, err := exec.Command("go", args...).CombinedOutput()
+	if err != nil {
+		return Programs{}, fmt.Errorf("go build: %w\n%s", err, out)
+	}
+	return inDirectory(dir), nil
+}
+
+// Beside returns the binaries in the directory of the running program.
+func Beside() (Programs, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return Programs{}, err
+	}
+	return inDirectory(filepath.Dir(self)), nil
+}
+
+func inDirectory(dir string) Programs {
+	return Programs{
+		Daemon: filepath.Join(dir, "marjoramd"),
+		Tool:   filepath.Join(dir, "marjoramctl"),
+		Bench:  filepath.Join(dir, "marjorambench"),
+	}
+}
--- /dev/null
+++ b/bench/internal/cluster/cluster.go
@@ -0,0 +1,248 @@
+// Package cluster starts stand-in servers and daemons as separate processes on
+// loopback addresses, for the demo, the measurements and the end-to-end tests.
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/platform"
+)
+
+// Programs are the paths of the binaries.
+type Programs struct {
+	Daemon, Tool, Bench string
+}
+
+// Member is a daemon of a cluster.
+type Member struct {
+	*Process
+	DataCentre string
+	Callers    string
+	Admin      string
+	Peers      string
+}
+
+// Server is a stand-in server of a cluster.
+type Server struct {
+	*Process
+	DataCentre string
+	Address    string
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	Dir      string
+	Programs Programs
+	Spec     Spec
+	Set      *object.Set
+	Platform *Server
+	Engines  []*Server
+	Plains   []*Server
+	Daemons  []*Member
+}
+
+const (
+	readyTimeout = 30 * time.Second
+	pollPause    = 20 * time.Millisecond
+	stopTimeout  = 30 * time.Second
+)
+
+// Start starts the stand-ins and the daemons of a spec. The configuration is not
+// published yet. Close ends all processes.
+func Start(ctx context.Context, dir string, programs Programs, spec Spec) (*Cluster, error) {
+	spec.fillDefaults()
+	c := &Cluster{Dir: dir, Programs: programs, Spec: spec, Set: spec.baseSet()}
+	if err := c.start(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	var err error
+	c.Platform, err = c.standin("platform", "", "platform")
+	if err != nil {
+		return err
+	}
+	for i := range c.Spec.DataCentres {
+		if err := c.startTargets(&c.Spec.DataCentres[i]); err != nil {
+			return err
+		}
+	}
+	if err := c.waitServers(ctx); err != nil {
+		return err
+	}
+	for i := range c.Spec.DataCentres {
+		if err := c.addDaemons(&c.Spec.DataCentres[i]); err != nil {
+			return err
+		}
+	}
+	if err := c.PutVMs(ctx, c.VMs()); err != nil {
+		return err
+	}
+	for _, d := range c.Daemons {
+		if err := d.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// standin starts one stand-in server.
+func (c *Cluster) standin(name, dataCentre string, args ...string) (*Server, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	args = append([]string{"standin"}, append(args, "--listen", address)...)
+	s := &Server{Process: newProcess(c.Dir, name, c.Programs.Bench, args...), DataCentre: dataCentre, Address: address}
+	return s, s.Start()
+}
+
+func (c *Cluster) startTargets(dc *DataCentre) error {
+	for i, e := range dc.Engines {
+		name := fmt.Sprintf("%s-engine-%d", dc.Name, i+1)
+		s, err := c.standin(name, dc.Name, "engine", "--name", name,
+			"--versions", strings.Join(c.Spec.Loaded, ","),
+			"--prefill", fmt.Sprint(e.Prefill),
+			"--decode-base", e.DecodeBase.String(),
+			"--decode-sequence", e.DecodePer.String(),
+			"--batch", fmt.Sprint(e.Batch),
+			"--kv-tokens", fmt.Sprint(e.KVTokens),
+			"--seed", fmt.Sprint(len(c.Engines)+1))
+		if err != nil {
+			return err
+		}
+		c.Engines = append(c.Engines, s)
+		c.addTarget(dc, s, ModelService, e)
+	}
+	for i := range dc.Plains {
+		name := fmt.Sprintf("%s-plain-%d", dc.Name, i+1)
+		versions := strings.Join(versionsOf(c.Set, PlainService), ",")
+		s, err := c.standin(name, dc.Name, "plain", "--service-time", c.Spec.PlainTime.String(), "--versions", versions)
+		if err != nil {
+			return err
+		}
+		c.Plains = append(c.Plains, s)
+		c.addTarget(dc, s, PlainService, Engine{Hardware: "gen1", Batch: 8})
+	}
+	return nil
+}
+
+func (c *Cluster) addTarget(dc *DataCentre, s *Server, service string, e Engine) {
+	c.Set.Targets = append(c.Set.Targets, object.Target{
+		Name:          s.Name,
+		Service:       service,
+		DataCentre:    dc.Name,
+		Region:        dc.Region,
+		Address:       s.Address,
+		Hardware:      e.Hardware,
+		Slots:         e.Batch,
+		KVTokens:      e.KVTokens,
+		Versions:      versionsOf(c.Set, service),
+		ChecksFencing: e.ChecksFencing,
+	})
+}
+
+// addDaemons writes the settings of the daemons of a data centre.
+func (c *Cluster) addDaemons(dc *DataCentre) error {
+	for i := range dc.Daemons {
+		m := &Member{DataCentre: dc.Name}
+		for _, address := range []*string{&m.Callers, &m.Admin, &m.Peers} {
+			var err error
+			if *address, err = freeAddress(); err != nil {
+				return err
+			}
+		}
+		name := fmt.Sprintf("%s-%d", dc.Name, i+1)
+		path := filepath.Join(c.Dir, name+".yaml")
+		if err := c.writeSettings(path, name, dc, m); err != nil {
+			return err
+		}
+		m.Process = newProcess(c.Dir, name, c.Programs.Daemon, "--settings", path)
+		c.Daemons = append(c.Daemons, m)
+	}
+	return nil
+}
+
+// daemonSettings mirrors the settings file; secrets are plain here, since the
+// settings package hides them when it writes.
+type daemonSettings struct {
+	Name       string            `yaml:"name"`
+	DataCentre string            `yaml:"dataCentre"`
+	Region     string            `yaml:"region"`
+	Listen     map[string]string `yaml:"listen"`
+	Platform   map[string]string `yaml:"platform"`
+	Tokens     map[string]any    `yaml:"tokens"`
+}
+
+func (c *Cluster) writeSettings(path, name string, dc *DataCentre, m *Member) error {
+	callers := make(map[string]string)
+	for _, a := range c.Spec.Accounts {
+		callers[a.Name] = CallerToken(a.Name)
+	}
+	base := "http://" + c.Platform.Address
+	data, err := yaml.Marshal(daemonSettings{
+		Name:       name,
+		DataCentre: dc.Name,
+		Region:     dc.Region,
+		Listen:     map[string]string{"callers": m.Callers, "admin": m.Admin, "peers": m.Peers},
+		Platform:   map[string]string{"table": base, "objects": base, "weights": base, "vms": base},
+		Tokens:     map[string]any{"operators": map[string]string{"ops": OperatorToken}, "callers": callers},
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, 0o600)
+}
+
+// VMs returns the VM list with everything live.
+func (c *Cluster) VMs() []platform.VM {
+	var vms []platform.VM
+	for _, d := range c.Daemons {
+		vms = append(vms, platform.VM{Name: d.Name, Address: d.Peers, DataCentre: d.DataCentre, Role: platform.RoleEntry, State: platform.VMLive})
+	}
+	for _, s := range append(append([]*Server{}, c.Engines...), c.Plains...) {
+		vms = append(vms, platform.VM{Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Role: platform.RoleTarget, State: platform.VMLive})
+	}
+	return vms
+}
+
+// Close ends all processes at once.
+func (c *Cluster) Close() {
+	for _, d := range c.Daemons {
+		d.Kill()
+	}
+	for _, s := range c.servers() {
+		s.Kill()
+	}
+}
+
+func (c *Cluster) servers() []*Server {
+	var all []*Server
+	if c.Platform != nil {
+		all = append(all, c.Platform)
+	}
+	all = append(all, c.Engines...)
+	return append(all, c.Plains...)
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
--- /dev/null
+++ b/bench/internal/cluster/control.go
@@ -0,0 +1,128 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/bench/standin/faults"
+	"github.com/marjoramflow/marjoramflow/platform"
+)
+
+var controlClient = &http.Client{Timeout: 5 * time.Second}
+
+// call sends one JSON request to a stand-in or a daemon.
+func call(ctx context.Context, method, url string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := controlClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s %s: status %d: %.200s", method, url, resp.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(data, out)
+}
+
+// SetFaults replaces the fault switches of a stand-in.
+func (s *Server) SetFaults(ctx context.Context, f faults.Switches) error {
+	return call(ctx, http.MethodPut, "http://"+s.Address+"/v1/faults", f, nil)
+}
+
+// Get reads a JSON document of a stand-in, such as /v1/executions.
+func (s *Server) Get(ctx context.Context, path string, out any) error {
+	return call(ctx, http.MethodGet, "http://"+s.Address+path, nil, out)
+}
+
+// PutVMs replaces the platform's VM list.
+func (c *Cluster) PutVMs(ctx context.Context, vms []platform.VM) error {
+	return call(ctx, http.MethodPut, "http://"+c.Platform.Address+"/v1/vms", map[string]any{"vms": vms}, nil)
+}
+
+// Until calls check until it returns nil, and returns its last error after the
+// timeout.
+func Until(ctx context.Context, timeout time.Duration, check func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for {
+		err := check(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+// waitServers waits until every stand-in answers.
+func (c *Cluster) waitServers(ctx context.Context) error {
+	paths := map[*Server]string{c.Platform: "/v1/vms"}
+	for _, s := range append(append([]*Server{}, c.Engines...), c.Plains...) {
+		paths[s] = "/health"
+	}
+	for s, path := range paths {
+		err := Until(ctx, readyTimeout, func(ctx context.Context) error { return s.Get(ctx, path, &json.RawMessage{}) })
+		if err != nil {
+			return fmt.Errorf("stand-in %s: %w", s.Name, err)
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until every running daemon is ready for callers.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	for _, d := range c.Daemons {
+		if !d.Running() {
+			continue
+		}
+		if err := d.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until the daemon is ready for callers.
+func (m *Member) WaitReady(ctx context.Context) error {
+	err := Until(ctx, readyTimeout, func(ctx context.Context) error {
+		return call(ctx, http.MethodGet, "http://"+m.Callers+"/readyz", nil, nil)
+	})
+	if err != nil {
+		return fmt.Errorf("daemon %s is not ready: %w\n%s", m.Name, err, m.Log())
+	}
+	return nil
+}
+
+// WriteSet writes the configuration as a file that marjoramctl reads.
+func (c *Cluster) WriteSet(name string) (string, error) {
+	data, err := c.Set.FormatYAML()
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(c.Dir, name)
+	return path, os.WriteFile(path, data, 0o600)
+}
--- /dev/null
+++ b/bench/internal/cluster/publish.go
@@ -0,0 +1,77 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/adminapi"
+	"github.com/marjoramflow/marjoramflow/settings"
+)
+
+// inForceTimeout is the bound of the design for a publication to be in force on
+// all reachable daemons.
+const inForceTimeout = 4 * time.Second
+
+// Admin returns a client of the administration API of the running daemons.
+func (c *Cluster) Admin() (*adminapi.Client, error) {
+	var servers []string
+	for _, d := range c.Daemons {
+		if d.Running() {
+			servers = append(servers, "http://"+d.Admin)
+		}
+	}
+	if len(servers) == 0 {
+		return nil, errors.New("no daemon runs")
+	}
+	return adminapi.NewClient(adminapi.ClientOptions{Servers: servers, Token: settings.NewSecret(OperatorToken)})
+}
+
+// Publish puts the cluster's set in force and waits until all running daemons
+// have it.
+func (c *Cluster) Publish(ctx context.Context) (uint64, error) {
+	admin, err := c.Admin()
+	if err != nil {
+		return 0, err
+	}
+	base, err := admin.Current(ctx)
+	if err != nil {
+		return 0, err
+	}
+	published, err := admin.Publish(ctx, base.Generation, c.Set)
+	if err != nil {
+		return 0, err
+	}
+	return published.Generation, c.WaitInForce(ctx, published.Generation, inForceTimeout)
+}
+
+// WaitInForce waits until every running daemon has the generation.
+func (c *Cluster) WaitInForce(ctx context.Context, generation uint64, timeout time.Duration) error {
+	for _, d := range c.Daemons {
+		if !d.Running() {
+			continue
+		}
+		if err := d.waitGeneration(ctx, generation, timeout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Member) waitGeneration(ctx context.Context, generation uint64, timeout time.Duration) error {
+	admin, err := adminapi.NewClient(adminapi.ClientOptions{Servers: []string{"http://" + m.Admin}, Token: settings.NewSecret(OperatorToken)})
+	if err != nil {
+		return err
+	}
+	return Until(ctx, timeout, func(ctx context.Context) error {
+		config, err := admin.Current(ctx)
+		if err != nil {
+			return err
+		}
+		if config.Generation < generation {
+			return fmt.Errorf("daemon %s has generation %d, want %d", m.Name, config.Generation, generation)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/bench/internal/cluster/spec.go
@@ -0,0 +1,148 @@
+package cluster
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/object"
+)
+
+// Spec describes a cluster: data centres with daemons, engines and plain
+// servers, and the objects that make them a configuration.
+type Spec struct {
+	DataCentres []DataCentre
+	// Race builds nothing here; it says that the daemons run with the race
+	// detector, so that waits are longer.
+	Tiers    []object.Tier
+	Accounts []object.ClientAccount
+	// PlainTime is the processing time of one plain call.
+	PlainTime time.Duration
+	// MoreVersions are versions beside the first of each service.
+	MoreVersions []object.Version
+	Moves        []object.Move
+	// Loaded are the models that engines have loaded at start.
+	Loaded []string
+}
+
+// DataCentre is one data centre of a Spec.
+type DataCentre struct {
+	Name    string
+	Region  string
+	Daemons int
+	Engines []Engine
+	Plains  int
+}
+
+// Engine is one model engine of a Spec.
+type Engine struct {
+	Hardware      string
+	Batch         int
+	KVTokens      int
+	Prefill       float64
+	DecodeBase    time.Duration
+	DecodePer     time.Duration
+	ChecksFencing bool
+}
+
+// Names of the services and versions of every cluster.
+const (
+	ModelService = "assistant"
+	PlainService = "booking"
+	ModelVersion = "assistant-1"
+	PlainVersion = "booking-1"
+	ModelName    = "m1"
+)
+
+// Default tiers: index 0 is the highest.
+var defaultTiers = []object.Tier{
+	{Name: "gold", Rank: 0, FirstToken: 1800 * time.Millisecond, Deadline: 20 * time.Second},
+	{Name: "silver", Rank: 1, FirstToken: 1800 * time.Millisecond, Deadline: 20 * time.Second},
+	{Name: "bronze", Rank: 2, FirstToken: 1800 * time.Millisecond, Deadline: 20 * time.Second},
+}
+
+// Default accounts: one per tier.
+var defaultAccounts = []object.ClientAccount{
+	{Name: "clerks", Tier: "gold"},
+	{Name: "donors", Tier: "silver"},
+	{Name: "reports", Tier: "bronze"},
+}
+
+func (s *Spec) fillDefaults() {
+	if len(s.Tiers) == 0 {
+		s.Tiers = defaultTiers
+	}
+	if len(s.Accounts) == 0 {
+		s.Accounts = defaultAccounts
+	}
+	if s.PlainTime == 0 {
+		s.PlainTime = 5 * time.Millisecond
+	}
+	if len(s.Loaded) == 0 {
+		s.Loaded = []string{ModelName}
+	}
+}
+
+// FastEngine and SlowEngine are two hardware generations, speeds 1:3.
+var (
+	FastEngine = Engine{Hardware: "gen2", Batch: 16, KVTokens: 64000, Prefill: 24000, DecodeBase: 8 * time.Millisecond, DecodePer: 200 * time.Microsecond, ChecksFencing: true}
+	SlowEngine = Engine{Hardware: "gen1", Batch: 8, KVTokens: 32000, Prefill: 8000, DecodeBase: 24 * time.Millisecond, DecodePer: 600 * time.Microsecond, ChecksFencing: false}
+)
+
+// TwoRegions is a small deployment like those of the users: three data centres
+// in two regions.
+func TwoRegions() Spec {
+	return Spec{DataCentres: []DataCentre{
+		{Name: "pe-recife", Region: "pernambuco", Daemons: 2, Engines: []Engine{FastEngine, SlowEngine}, Plains: 1},
+		{Name: "pe-caruaru", Region: "pernambuco", Daemons: 2, Engines: []Engine{FastEngine}, Plains: 1},
+		{Name: "ce-fortaleza", Region: "ceara", Daemons: 2, Engines: []Engine{SlowEngine}, Plains: 1},
+	}}
+}
+
+// OneDataCentre has so many daemons before a fast and a slow engine and a plain
+// server.
+func OneDataCentre(daemons int) Spec {
+	return Spec{DataCentres: []DataCentre{
+		{Name: "lhr-a", Region: "lahore", Daemons: daemons, Engines: []Engine{FastEngine, SlowEngine}, Plains: 1},
+	}}
+}
+
+// baseSet returns the objects of a spec without targets.
+func (s *Spec) baseSet() *object.Set {
+	set := &object.Set{
+		Services: []object.Service{
+			{Name: ModelService, Kind: object.ModelService, Version: ModelVersion},
+			{Name: PlainService, Kind: object.PlainService, Version: PlainVersion, Routes: []object.Route{
+				{Name: "reserve", Method: "POST", Path: "/reservations"},
+				{Name: "stock", Method: "GET", Path: "/stock", Idempotent: true},
+			}},
+		},
+		Versions: []object.Version{
+			{Name: ModelVersion, Service: ModelService, Model: ModelName},
+			{Name: PlainVersion, Service: PlainService},
+		},
+		Tiers:          s.Tiers,
+		ClientAccounts: s.Accounts,
+		Moves:          s.Moves,
+	}
+	set.Versions = append(set.Versions, s.MoreVersions...)
+	return set
+}
+
+// versionsOf returns the names of a service's versions in a set.
+func versionsOf(set *object.Set, service string) []string {
+	var names []string
+	for _, v := range set.Versions {
+		if v.Service == service {
+			names = append(names, v.Name)
+		}
+	}
+	return names
+}
+
+// CallerToken is the bearer token of a client account in every cluster.
+func CallerToken(account string) string {
+	return fmt.Sprintf("caller-token-of-%s-0123456789", account)
+}
+
+// OperatorToken is the bearer token of the operator in every cluster.
+const OperatorToken = "operator-token-0123456789abcdef"
--- /dev/null
+++ b/cmd/marjoramd/main.go
@@ -0,0 +1,86 @@
+// Command marjoramd is the daemon of marjoramflow.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/marjoramflow/marjoramflow/daemon"
+	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/settings"
+)
+
+func main() {
+	if err := rootCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "marjoramd:", err)
+		os.Exit(1)
+	}
+}
+
+func rootCommand() *cobra.Command {
+	var path string
+	root := &cobra.Command{
+		Use:           "marjoramd",
+		Short:         "Request scheduler daemon",
+		Version:       daemon.Version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return run(cmd.Context(), path)
+		},
+	}
+	root.PersistentFlags().StringVar(&path, "settings", "/etc/marjoramflow/settings.yaml", "file with the daemon's settings")
+	root.AddCommand(checkCommand(&path), printCommand(&path))
+	return root
+}
+
+func checkCommand(path *string) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check-settings",
+		Short: "Check the settings file and exit",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := settings.Load(*path); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
+			return nil
+		},
+	}
+}
+
+func printCommand(path *string) *cobra.Command {
+	return &cobra.Command{
+		Use:   "print-settings",
+		Short: "Print the settings with all defaults; secrets are hidden",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.Load(*path)
+			if err != nil {
+				return err
+			}
+			return s.Dump(cmd.OutOrStdout())
+		},
+	}
+}
+
+func run(ctx context.Context, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	logger, err := eventlog.New(os.Stderr, s.Log.Level, s.Log.Format, s.Name)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s, logger)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.Run(ctx)
+}
--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -6,18 +6,17 @@
 	"sync"
 	"time"
 
-	"github.com/marjoramflow/marjoramflow/entry"
 	"github.com/marjoramflow/marjoramflow/estimate"
 	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/retry"
 	"github.com/marjoramflow/marjoramflow/rollout"
 )
 
-// versions chooses versions by the shares in force.
+// versions chooses versions by the shares in force. It implements entry.Versions.
 type versions struct {
 	shares *rollout.Shares
 }
 
-// Pick implements entry.Versions.
 func (v versions) Pick(service *object.Service) string {
 	if version := v.shares.Pick(service.Name, rand.Uint64()); version != "" {
 		return version
@@ -25,26 +24,57 @@
 	return service.Version
 }
 
-// lengths predicts the length of answers from those this daemon has seen.
+// lengths predicts the length of answers and the time to their first token from
+// the requests of this daemon. It implements frontend.Lengths.
 type lengths struct {
 	mu    sync.Mutex
 	model *estimate.Model
 }
 
-// Output implements frontend.Lengths.
 func (l *lengths) Output(account, service string, maxTokens int) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.model.OutputTokens(service, account, maxTokens)
 }
 
-// Finished implements frontend.Lengths.
 func (l *lengths) Finished(account, service string, tokens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.model.ObserveOutput(service, account, tokens)
 }
 
+// retries holds one retry policy per service. It implements entry.Retries.
+type retries struct {
+	mu       sync.Mutex
+	policies map[string]*retry.Policy
+}
+
+func newRetries() *retries {
+	return &retries{policies: make(map[string]*retry.Policy)}
+}
+
+// policy returns the policy of a service; the caller holds the lock.
+func (r *retries) policy(service string) *retry.Policy {
+	p := r.policies[service]
+	if p == nil {
+		p = retry.NewPolicy()
+		r.policies[service] = p
+	}
+	return p
+}
+
+func (r *retries) Request(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.policy(service).Budget.Request(time.Now())
+}
+
+func (r *retries) Decide(service string, a retry.Attempt) retry.Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy(service).Decide(time.Now(), a)
+}
+
 // pause waits, but not beyond the end of the context.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -54,5 +84,3 @@
 	case <-timer.C:
 	}
 }
-
-var _ entry.Versions = versions{}
--- /dev/null
+++ b/daemon/backend.go
@@ -0,0 +1,181 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/adminapi"
+	"github.com/marjoramflow/marjoramflow/membership"
+	"github.com/marjoramflow/marjoramflow/metrics"
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/rollout"
+)
+
+// backend implements adminapi.Backend.
+type backend struct {
+	daemon *Daemon
+}
+
+// reachableTime is the time without a frame after which a daemon counts as not
+// reached; the keepalive closes silent sessions after 3 s.
+const reachableTime = 3 * time.Second
+
+// errNotReady is the answer before the first configuration and while stopping.
+var errNotReady = errors.New("the daemon has no configuration yet or is stopping")
+
+func (b backend) Current(context.Context) (adminapi.Config, error) {
+	index := b.daemon.places.Index()
+	if index == nil {
+		return adminapi.Config{Set: &object.Set{}}, nil
+	}
+	return adminapi.Config{Generation: index.Generation, Digest: index.Set.Digest(), Set: index.Set}, nil
+}
+
+func (b backend) Ready(context.Context) error {
+	if b.daemon.ready() {
+		return nil
+	}
+	return errNotReady
+}
+
+func (b backend) Daemons(context.Context) ([]adminapi.DaemonStatus, error) {
+	heard := b.daemon.peers.snapshot()
+	now := time.Now()
+	var out []adminapi.DaemonStatus
+	for _, m := range b.daemon.members.Members() {
+		if m.State == membership.Dead {
+			continue
+		}
+		s := adminapi.DaemonStatus{Name: m.Name, DataCentre: m.DataCentre, Address: m.Address}
+		if m.Name == b.daemon.settings.Name {
+			s.Reachable = true
+			s.Generation = b.daemon.generation()
+			s.LastHeard = now
+		} else if seen, ok := heard[m.Name]; ok {
+			s.Reachable = now.Sub(seen.at) < reachableTime
+			s.Generation = seen.generation
+			s.LastHeard = seen.at
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b adminapi.DaemonStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return out, nil
+}
+
+func (b backend) Moves(context.Context) ([]adminapi.MoveStatus, error) {
+	var out []adminapi.MoveStatus
+	for _, m := range b.daemon.moves.Status() {
+		out = append(out, moveStatus(m))
+	}
+	return out, nil
+}
+
+func moveStatus(m rollout.MoveStatus) adminapi.MoveStatus {
+	return adminapi.MoveStatus{
+		Name:         m.Move,
+		Service:      m.Service,
+		From:         m.From,
+		To:           m.To,
+		Phase:        string(m.Phase),
+		SharePercent: float64(m.Share) * 100 / rollout.FullShare,
+		Attempt:      m.Attempt,
+		Deadline:     m.Deadline,
+		Holder:       m.Holder,
+		Fencing:      m.Fence,
+		Reason:       cmp.Or(m.Reason, m.Cut, m.Waiting),
+	}
+}
+
+func (b backend) Targets(context.Context) ([]adminapi.TargetStatus, error) {
+	index := b.daemon.places.Index()
+	if index == nil {
+		return nil, nil
+	}
+	states := b.daemon.states.snapshot()
+	owners := b.daemon.places.ownersByTarget()
+	out := make([]adminapi.TargetStatus, 0, len(index.Set.Targets))
+	for i := range index.Set.Targets {
+		t := &index.Set.Targets[i]
+		s := adminapi.TargetStatus{
+			Name:       t.Name,
+			Service:    t.Service,
+			DataCentre: t.DataCentre,
+			State:      "unknown",
+			Slots:      t.Slots,
+			InFlight:   b.daemon.grants.InFlight(t.Name),
+			Owner:      owners[t.Name],
+		}
+		if state, ok := states[t.Name]; ok && s.Owner == b.daemon.settings.Name {
+			s.State = state
+		}
+		if t.Leaving {
+			s.State = "leaving"
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func (b backend) Tiers(context.Context) ([]adminapi.TierStatus, error) {
+	index := b.daemon.places.Index()
+	if index == nil {
+		return nil, nil
+	}
+	counts := b.daemon.metrics.Snapshot().Requests
+	var out []adminapi.TierStatus
+	for _, t := range index.Tiers() {
+		s := adminapi.TierStatus{
+			Name:    t.Name,
+			Rank:    t.Rank,
+			Running: b.daemon.grants.RunningInTier(t.Rank),
+			Waiting: b.daemon.grants.WaitingInTier(t.Rank),
+		}
+		for _, c := range counts {
+			if c.Tier != t.Name {
+				continue
+			}
+			switch c.Outcome {
+			case metrics.Done:
+				s.Done += c.Count
+			case metrics.Shed:
+				s.Shed += c.Count
+			}
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func (b backend) Accounts(context.Context) ([]adminapi.AccountStatus, error) {
+	index := b.daemon.places.Index()
+	if index == nil {
+		return nil, nil
+	}
+	counts := b.daemon.metrics.Snapshot().Requests
+	out := make([]adminapi.AccountStatus, 0, len(index.Set.ClientAccounts))
+	for i := range index.Set.ClientAccounts {
+		a := &index.Set.ClientAccounts[i]
+		s := adminapi.AccountStatus{
+			Name:              a.Name,
+			Tier:              a.Tier,
+			RequestsPerSecond: a.RequestsPerSecond,
+			TokensPerSecond:   a.TokensPerSecond,
+		}
+		for _, c := range counts {
+			if c.Account != a.Name {
+				continue
+			}
+			switch c.Outcome {
+			case metrics.Done:
+				s.Done += c.Count
+			case metrics.Limited:
+				s.Limited += c.Count
+			}
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
--- a/daemon/places.go
+++ b/daemon/places.go
@@ -142,3 +142,43 @@
 	}
 	return index.Target(name)
 }
+
+// liveCount returns the number of live daemons of a data centre.
+func (p *places) liveCount(dataCentre string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.live[dataCentre])
+}
+
+// liveIn returns the live daemons of a data centre.
+func (p *places) liveIn(dataCentre string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.live[dataCentre])
+}
+
+// everyone returns the live daemons of all data centres, in name order.
+func (p *places) everyone() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []string
+	for _, names := range p.live {
+		all = append(all, names...)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// ownersByTarget returns the owner of each target.
+func (p *places) ownersByTarget() map[string]string {
+	s := p.snapshot.Load()
+	owners := make(map[string]string)
+	for _, t := range append(append([]*topology.Topology{s.local}, s.nearby...), s.far...) {
+		for _, g := range t.All() {
+			for _, target := range g.Targets {
+				owners[target.Name] = g.Owner
+			}
+		}
+	}
+	return owners
+}
--- /dev/null
+++ b/daemon/record.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/frontend"
+	"github.com/marjoramflow/marjoramflow/metrics"
+)
+
+// recorder counts finished requests and records their times.
+type recorder struct {
+	registry *metrics.Registry
+}
+
+// outcomesByCode maps the codes of refusals to the outcomes that are counted.
+var outcomesByCode = map[string]metrics.Outcome{
+	"ok":                            metrics.Done,
+	string(entry.CodeUnauthorized):  metrics.Invalid,
+	string(entry.CodeForbidden):     metrics.Invalid,
+	string(entry.CodeBadRequest):    metrics.Invalid,
+	string(entry.CodeTooLarge):      metrics.Invalid,
+	string(entry.CodeNotFound):      metrics.Invalid,
+	string(entry.CodeKeyMismatch):   metrics.Invalid,
+	string(entry.CodeNotReady):      metrics.Unavailable,
+	string(entry.CodeNoTarget):      metrics.Unavailable,
+	string(entry.CodeStoreDown):     metrics.Unavailable,
+	string(entry.CodeShuttingDown):  metrics.Unavailable,
+	string(entry.CodeRateLimited):   metrics.Limited,
+	string(entry.CodeOverloaded):    metrics.Shed,
+	string(entry.CodeLate):          metrics.Late,
+	string(entry.CodeDeadline):      metrics.Shed,
+	string(entry.CodeQuarantined):   metrics.Quarantined,
+	string(entry.CodeTargetFailed):  metrics.Failed,
+	string(entry.CodeCanceled):      metrics.Canceled,
+	string(entry.CodeKeyInProgress): metrics.Unknown,
+	string(entry.CodeKeyUnknown):    metrics.Unknown,
+	string(entry.CodeInternal):      metrics.Failed,
+}
+
+// Request implements frontend.Recorder.
+func (r recorder) Request(m frontend.Measure) {
+	series := r.registry.Series(metrics.Labels{Tier: m.Tier, Account: m.Account, Service: m.Service})
+	outcome, ok := outcomesByCode[m.Outcome]
+	if !ok {
+		outcome = metrics.Failed
+	}
+	series.Count(outcome)
+	if outcome != metrics.Done {
+		return
+	}
+	series.Total(m.Total)
+	if m.FirstToken > 0 {
+		series.FirstToken(m.FirstToken)
+	}
+	if m.Tokens > 1 {
+		series.TokenGap((m.Total - m.FirstToken) / time.Duration(m.Tokens-1))
+	}
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -134,7 +134,10 @@
 // kindOfStatus maps an error status. Engines answer 4xx and 503 before they
 // admit a request.
 func kindOfStatus(status int) attempt.Kind {
-	if status < http.StatusInternalServerError || status == http.StatusServiceUnavailable {
+	switch {
+	case status == http.StatusBadRequest, status == http.StatusRequestEntityTooLarge, status == http.StatusUnprocessableEntity:
+		return attempt.Rejected
+	case status < http.StatusInternalServerError, status == http.StatusServiceUnavailable:
 		return attempt.Refused
 	}
 	return attempt.Failed
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -11,6 +11,7 @@
 	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/engine"
 	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/retry"
 )
 
 // ChatRequest is a chat completion of an authenticated caller.
@@ -58,12 +59,12 @@
 // Chat runs a request to its end. It returns nil when the whole answer went to
 // the sink, and a *Refusal otherwise; frames may have gone to the sink before.
 func (e *Entry) Chat(ctx context.Context, r *ChatRequest, sink Sink) error {
-	suspect, err := e.checkQuarantine(r.Fingerprint)
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	suspect, quarantined := e.checkQuarantine(ctx, r.Fingerprint)
+	if quarantined {
+		return quarantinedRefusal()
+	}
 	e.Retries.Request(r.Service.Name)
 	c := &chat{entry: e, request: r, sink: sink, suspect: suspect, version: e.Versions.Pick(r.Service)}
 	return c.runToEnd(ctx)
@@ -230,54 +231,71 @@
 }
 
 // afterFailure decides whether the request is tried again. A chat completion is
-// idempotent and resumable, so every failure but the caller's own end permits it.
+// resumable, so every failure but the caller's own end permits it.
 func (c *chat) afterFailure(ctx context.Context, grant *Grant, err error) (bool, error) {
 	c.attempts++
 	switch {
 	case c.finished:
 		return false, nil
 	case c.gone != nil:
-		return false, &Refusal{Status: 499, Code: CodeDeadline, Outcome: Unknown, Message: "the caller closed the connection", Err: c.gone}
+		return false, &Refusal{Status: statusClientClosed, Code: CodeCanceled, Outcome: Unknown, Message: "the caller closed the connection", Err: c.gone}
 	case ctx.Err() != nil:
 		return false, &Refusal{Status: http.StatusGatewayTimeout, Code: CodeDeadline, Outcome: Unknown, Message: "the deadline passed", Err: err}
+	case attempt.KindOf(err) == attempt.Rejected:
+		return false, rejected(err)
 	}
 	return c.retry(ctx, grant, err)
 }
 
+// rejected passes on that an engine found the request at fault.
+func rejected(err error) *Refusal {
+	r := Refuse(http.StatusBadRequest, CodeBadRequest, "the engine rejected the request")
+	r.Err = err
+	return r
+}
+
+// retry asks the retry policy, and prepares the next attempt on another target.
 func (c *chat) retry(ctx context.Context, grant *Grant, err error) (bool, error) {
-	name := grant.Target.Name
-	failure := &Refusal{Status: http.StatusBadGateway, Code: CodeTargetFailed, Outcome: Unknown, Message: "targets failed while running the request", Err: err}
-	quarantined, suspect := c.entry.Suspects.Check(c.request.Fingerprint)
-	if quarantined {
-		failure.Code = CodeQuarantined
-		return false, failure
-	}
-	c.suspect = suspect
 	c.failures++
-	if c.failures >= maxAttempts || !c.entry.Retries.Allow(c.request.Service.Name) {
+	service := c.request.Service
+	failure := &Refusal{Status: http.StatusBadGateway, Code: CodeTargetFailed, Outcome: Unknown, Message: "targets failed while running the request", Err: err}
+	a := describe(err)
+	a.Tokens = c.next
+	a.Number = c.failures
+	a.EarlierMayHaveRun = c.failures > 1
+	a.Resumable = true
+	a.Remaining = time.Until(c.request.Deadline)
+	action := c.entry.Retries.Decide(service.Name, a)
+	switch action.Kind {
+	case retry.RetryElsewhere, retry.RetryAfter, retry.Resume:
+	default:
+		if action.Kind == retry.GiveUpNotRun {
+			failure.Outcome = NotRun
+		}
 		return false, failure
 	}
-	if !slices.Contains(c.exclude, name) {
+	if name := grant.Target.Name; !slices.Contains(c.exclude, name) {
 		c.exclude = append(c.exclude, name)
 	}
 	if c.next == 0 {
-		c.version = c.entry.Versions.Pick(c.request.Service)
+		c.version = c.entry.Versions.Pick(service)
+	}
+	c.entry.Pause(ctx, action.Delay)
+	var quarantined bool
+	c.suspect, quarantined = c.entry.checkQuarantine(ctx, c.request.Fingerprint)
+	if quarantined {
+		failure.Code = CodeQuarantined
+		return false, failure
 	}
-	c.entry.Pause(ctx, c.entry.Backoff(c.failures))
 	return true, nil
 }
 
 func (c *chat) observe(grant *Grant, report *Report, err error) {
 	r := c.request
-	c.entry.Observer.Attempt(Observation{
-		Service:  r.Service.Name,
-		Route:    r.Route,
-		Version:  c.version,
-		Target:   grant.Target.Name,
-		Tier:     r.Caller.Tier.Name,
-		Account:  r.Caller.Account.Name,
-		Failed:   err != nil && report.Result != ResultCanceled,
-		First:    report.FirstToken,
-		Duration: report.Duration,
-	})
+	o := observation(grant, report, r.Caller)
+	o.Service = r.Service.Name
+	o.Route = r.Route
+	o.Version = c.version
+	o.Failed = err != nil && !o.Stopped
+	c.entry.Observer.Attempt(o)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,16 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/quarantine"
+	"github.com/marjoramflow/marjoramflow/retry"
 )
 
 const (
-	// maxAttempts bounds the attempts of one request, the first included.
-	maxAttempts = 4
 	// firstTimeoutFactor and minFirstTimeout bound the wait for the first token
 	// of an attempt by the expected time.
 	firstTimeoutFactor = 4
@@ -19,9 +21,6 @@
 	// gapTimeout bounds the wait between tokens: 20 gaps of 28 ms are less than
 	// 2 s, and engines pause longer than that while they process long prompts.
 	gapTimeout = 2 * time.Second
-	// retryPauseMin and retryPauseMax bound the backoff between attempts.
-	retryPauseMin = 50 * time.Millisecond
-	retryPauseMax = 2 * time.Second
 )
 
 // Config holds the parts that an Entry works with. All are required.
@@ -33,11 +32,9 @@
 	Observer Observer
 	Keys     Keys
 	Suspects Suspects
-	Retries  RetryBudget
+	Retries  Retries
 	// Pause waits before a retry; it returns early when the context ends.
 	Pause func(ctx context.Context, d time.Duration)
-	// Backoff returns the pause before retry number n, counted from 1.
-	Backoff func(n int) time.Duration
 }
 
 // Entry runs requests.
@@ -56,14 +53,32 @@
 	Tier    *object.Tier
 }
 
-// checkQuarantine refuses requests that crash targets. It returns whether the
-// request is a suspect.
-func (e *Entry) checkQuarantine(fingerprint uint64) (bool, error) {
-	quarantined, suspect := e.Suspects.Check(fingerprint)
-	if quarantined {
-		return false, Refuse(http.StatusUnprocessableEntity, CodeQuarantined, "requests with this content made targets fail and are not run again")
+// heldPause is how often a held request looks whether its case is decided; cases
+// are decided within a second or two.
+const heldPause = 50 * time.Millisecond
+
+// checkQuarantine says whether the request is a suspect, or quarantined and must
+// not run. It waits while the request's case is being decided.
+func (e *Entry) checkQuarantine(ctx context.Context, fingerprint uint64) (suspect, quarantined bool) {
+	for {
+		switch e.Suspects.Check(fingerprint) {
+		case quarantine.Clear:
+			return false, false
+		case quarantine.Convicted:
+			return false, true
+		case quarantine.Suspect:
+			return true, false
+		}
+		if ctx.Err() != nil {
+			return true, false
+		}
+		e.Pause(ctx, heldPause)
 	}
-	return suspect, nil
+}
+
+// quarantinedRefusal answers a request that made targets fail.
+func quarantinedRefusal() *Refusal {
+	return Refuse(http.StatusUnprocessableEntity, CodeQuarantined, "requests with this content made targets fail and are not run again")
 }
 
 // attemptID names one attempt of a request, so that frames of an earlier attempt
@@ -71,3 +86,45 @@
 func attemptID(request string, n int) string {
 	return request + "." + strconv.Itoa(n)
 }
+
+// outcomes maps the kinds of failed attempts to those of the retry policy.
+var outcomes = map[attempt.Kind]retry.Outcome{
+	attempt.NotSent:   retry.NotSent,
+	attempt.MaybeSent: retry.MaybeSent,
+	attempt.Refused:   retry.Answered,
+	attempt.Failed:    retry.Answered,
+	attempt.Cut:       retry.StreamCut,
+	attempt.Stalled:   retry.TimedOut,
+	attempt.Canceled:  retry.TimedOut,
+}
+
+// describe builds the retry policy's view of a failed attempt.
+func describe(err error) retry.Attempt {
+	var failed *attempt.Error
+	if !errors.As(err, &failed) {
+		return retry.Attempt{Outcome: retry.MaybeSent}
+	}
+	return retry.Attempt{
+		Outcome: outcomes[failed.Kind],
+		Status:  failed.Status,
+		Refused: failed.Kind == attempt.Refused,
+	}
+}
+
+// observation describes an attempt, but for what chats and plain calls tell apart.
+func observation(grant *Grant, report *Report, caller Caller) Observation {
+	return Observation{
+		Target:       grant.Target.Name,
+		Hardware:     grant.Target.Hardware,
+		Slots:        grant.Target.Slots,
+		InFlight:     grant.InFlight,
+		Tier:         caller.Tier.Name,
+		Account:      caller.Account.Name,
+		Stopped:      report.Result == ResultCanceled || report.Result == ResultPreempted,
+		First:        report.FirstToken,
+		Duration:     report.Duration,
+		PromptTokens: report.PromptTokens,
+		CachedTokens: report.CachedTokens,
+		OutputTokens: report.OutputTokens,
+	}
+}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -8,6 +8,7 @@
 	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/plainservice"
+	"github.com/marjoramflow/marjoramflow/retry"
 )
 
 // PlainRequest is a call of a plain service by an authenticated caller.
@@ -27,21 +28,18 @@
 
 // Plain runs a call to its end and returns the target's answer, or a *Refusal.
 func (e *Entry) Plain(ctx context.Context, r *PlainRequest) (*plainservice.Answer, error) {
-	suspect, err := e.checkQuarantine(r.Fingerprint)
-	if err != nil {
-		return nil, err
-	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	suspect, quarantined := e.checkQuarantine(ctx, r.Fingerprint)
+	if quarantined {
+		return nil, quarantinedRefusal()
+	}
 	e.Retries.Request(r.Service.Name)
 	p := &plain{entry: e, request: r, suspect: suspect}
-	if r.Route.Idempotent {
-		return p.repeatable(ctx)
-	}
-	if r.Key == "" {
-		return p.once(ctx)
+	if r.Key != "" && !r.Route.Idempotent {
+		return p.keyed(ctx)
 	}
-	return p.keyed(ctx)
+	return p.run(ctx)
 }
 
 // plain is the state of one call between attempts.
@@ -52,33 +50,8 @@
 	version string
 	exclude []string
 	tries   int
-}
-
-// repeatable runs an idempotent call, again on other targets while the retry
-// budget lasts.
-func (p *plain) repeatable(ctx context.Context) (*plainservice.Answer, error) {
-	for {
-		answer, err := p.once(ctx)
-		if err == nil && answer.Status < http.StatusInternalServerError {
-			return answer, nil
-		}
-		if !p.mayRetry(ctx, err) {
-			return answer, err
-		}
-		p.entry.Pause(ctx, p.entry.Backoff(p.tries))
-	}
-}
-
-// mayRetry says whether another attempt makes sense. Refusals of the owner are
-// final: they already considered every target.
-func (p *plain) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || p.tries >= maxAttempts {
-		return false
-	}
-	if err != nil && AsRefusal(err).Code != CodeTargetFailed {
-		return false
-	}
-	return p.entry.Retries.Allow(p.request.Service.Name)
+	// mayHaveRun is set once an attempt was sent.
+	mayHaveRun bool
 }
 
 // keyed claims the idempotency key before the only dispatch.
@@ -94,7 +67,7 @@
 	if claim.State() != KeyClaimed {
 		return repeated(claim)
 	}
-	answer, err := p.once(ctx)
+	answer, err := p.run(ctx)
 	switch {
 	case err == nil:
 		claim.Complete(&Stored{Status: answer.Status, Header: answer.Header, Body: answer.Body})
@@ -121,20 +94,81 @@
 	return nil, &Refusal{Status: http.StatusConflict, Code: CodeKeyUnknown, Outcome: Unknown, Message: "the outcome of the request with this key is unknown"}
 }
 
-// once runs one attempt. For calls that must not run twice it is the only one;
-// when the connection could not be made, another target is tried, since nothing
-// was sent.
-func (p *plain) once(ctx context.Context) (*plainservice.Answer, error) {
+// run makes attempts until the retry policy ends the call. A call that must not
+// run twice gets another attempt only when nothing was sent.
+func (p *plain) run(ctx context.Context) (*plainservice.Answer, error) {
 	for {
 		p.tries++
 		answer, err := p.dispatch(ctx)
-		kind := attempt.KindOf(err)
-		if kind != attempt.NotSent || p.tries >= maxAttempts || ctx.Err() != nil {
-			return answer, p.refusal(err, kind)
+		if err != nil && attempt.KindOf(err) == 0 {
+			return nil, p.afterReserve(err)
+		}
+		action := p.decide(answer, err)
+		switch action.Kind {
+		case retry.Deliver:
+			return answer, nil
+		case retry.GiveUpNotRun:
+			return nil, giveUp(err, NotRun)
+		case retry.GiveUpUnknown:
+			return nil, giveUp(err, Unknown)
+		}
+		if ctx.Err() != nil {
+			return nil, giveUp(err, p.outcome())
+		}
+		p.entry.Pause(ctx, action.Delay)
+		var quarantined bool
+		p.suspect, quarantined = p.entry.checkQuarantine(ctx, p.request.Fingerprint)
+		if quarantined {
+			refusal := quarantinedRefusal()
+			refusal.Outcome = p.outcome()
+			return nil, refusal
 		}
 	}
 }
 
+// decide asks the retry policy about the last attempt.
+func (p *plain) decide(answer *plainservice.Answer, err error) retry.Action {
+	a := retry.Attempt{Outcome: retry.Answered}
+	if err != nil {
+		a = describe(err)
+	} else {
+		a.Status = answer.Status
+	}
+	a.Number = p.tries
+	a.EarlierMayHaveRun = p.mayHaveRun
+	a.Idempotent = p.request.Route.Idempotent
+	a.Remaining = time.Until(p.request.Deadline)
+	p.mayHaveRun = p.mayHaveRun || a.MayHaveRun()
+	return p.entry.Retries.Decide(p.request.Service.Name, a)
+}
+
+// outcome is what is known of the attempts so far.
+func (p *plain) outcome() Outcome {
+	if p.mayHaveRun {
+		return Unknown
+	}
+	return NotRun
+}
+
+// afterReserve turns a refused reservation into the caller's refusal.
+func (p *plain) afterReserve(err error) *Refusal {
+	refusal := AsRefusal(err)
+	refusal.Outcome = p.outcome()
+	return refusal
+}
+
+// giveUp is the refusal after the last attempt.
+func giveUp(err error, outcome Outcome) *Refusal {
+	r := &Refusal{Status: http.StatusBadGateway, Code: CodeTargetFailed, Outcome: outcome, Message: "the target gave no answer", Err: err}
+	if outcome == NotRun {
+		r.Message = "no target could be reached"
+	}
+	if attempt.KindOf(err) == attempt.Stalled {
+		r.Status = http.StatusGatewayTimeout
+	}
+	return r
+}
+
 // dispatch reserves a target and sends the call once.
 func (p *plain) dispatch(ctx context.Context) (*plainservice.Answer, error) {
 	if p.version == "" || p.request.Route.Idempotent {
@@ -154,6 +188,9 @@
 		return nil, err
 	}
 	p.entry.Suspects.Finished(p.request.Fingerprint)
+	if answer.Status >= http.StatusInternalServerError {
+		p.exclude = append(p.exclude, grant.Target.Name)
+	}
 	return answer, nil
 }
 
@@ -188,41 +225,16 @@
 	}
 }
 
-// refusal turns an attempt's error into what the caller is told. Only an attempt
-// that was not sent is certain not to have run; errors of the reservation are
-// refusals already.
-func (p *plain) refusal(err error, kind attempt.Kind) error {
-	if err == nil {
-		return nil
-	}
-	if kind == 0 {
-		return AsRefusal(err)
-	}
-	r := &Refusal{Status: http.StatusBadGateway, Code: CodeTargetFailed, Outcome: Unknown, Message: "the target gave no answer", Err: err}
-	if kind == attempt.NotSent {
-		r.Outcome = NotRun
-		r.Message = "no target could be reached"
-	}
-	if kind == attempt.Stalled {
-		r.Status = http.StatusGatewayTimeout
-	}
-	return r
-}
-
 func (p *plain) observe(grant *Grant, report Report, answer *plainservice.Answer, err error) {
 	r := p.request
-	failed := err != nil && report.Result != ResultCanceled
+	o := observation(grant, &report, r.Caller)
+	o.Service = r.Service.Name
+	o.Route = r.Route.Name
+	o.Version = p.version
+	o.Plain = true
+	o.Failed = err != nil && !o.Stopped
 	if answer != nil && answer.Status >= http.StatusInternalServerError {
-		failed = true
-	}
-	p.entry.Observer.Attempt(Observation{
-		Service:  r.Service.Name,
-		Route:    r.Route.Name,
-		Version:  p.version,
-		Target:   grant.Target.Name,
-		Tier:     r.Caller.Tier.Name,
-		Account:  r.Caller.Account.Name,
-		Failed:   failed,
-		Duration: report.Duration,
-	})
+		o.Failed = true
+	}
+	p.entry.Observer.Attempt(o)
 }
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -8,6 +8,8 @@
 	"github.com/marjoramflow/marjoramflow/engine"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/plainservice"
+	"github.com/marjoramflow/marjoramflow/quarantine"
+	"github.com/marjoramflow/marjoramflow/retry"
 )
 
 // Need describes the grant that a request asks for.
@@ -34,6 +36,8 @@
 	Need         Need
 	Target       object.Target
 	CachedTokens int
+	// InFlight is the number of requests on the target, this one included.
+	InFlight int
 	// Preempted is closed when the owner takes the grant back.
 	Preempted <-chan struct{}
 }
@@ -94,16 +98,27 @@
 
 // Observation is one finished attempt.
 type Observation struct {
-	Service  string
-	Route    string
-	Version  string
-	Target   string
-	Tier     string
-	Account  string
-	Failed   bool
+	Service string
+	Route   string
+	Version string
+	Target  string
+	Tier    string
+	Account string
+	// Failed says that the target did not answer properly. Attempts that the
+	// caller or the scheduler stopped are not failures.
+	Failed bool
+	// Stopped says that the caller or the scheduler ended the attempt.
+	Stopped  bool
 	First    time.Duration
 	Duration time.Duration
-	Expected time.Duration
+	// InFlight and Slots are the use of the target at dispatch.
+	InFlight, Slots int
+	// PromptTokens and CachedTokens are the work before the first token.
+	PromptTokens, CachedTokens, OutputTokens int
+	// Hardware is the target's hardware generation.
+	Hardware string
+	// Plain is set for calls of plain services, which have no first token.
+	Plain bool
 }
 
 // KeyState is the state of an idempotency key.
@@ -145,16 +160,15 @@
 
 // Suspects knows the fingerprints of requests that crash targets.
 type Suspects interface {
-	// Check says whether the fingerprint is quarantined, or suspect.
-	Check(fingerprint uint64) (quarantined, suspect bool)
+	Check(fingerprint uint64) quarantine.State
 	// Finished clears a suspect that ran to its end.
 	Finished(fingerprint uint64)
 }
 
-// RetryBudget bounds retries per service.
-type RetryBudget interface {
+// Retries decides about further attempts within the retry budget of a service.
+type Retries interface {
 	// Request counts a first attempt.
 	Request(service string)
-	// Allow takes one retry from the budget.
-	Allow(service string) bool
+	// Decide says what to do after an attempt.
+	Decide(service string, a retry.Attempt) retry.Action
 }
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -22,14 +22,16 @@
 
 // Reasons of refusals.
 const (
-	CodeUnauthorized  Code = "unauthorized"
-	CodeForbidden     Code = "forbidden"
-	CodeBadRequest    Code = "bad_request"
-	CodeTooLarge      Code = "too_large"
-	CodeNotFound      Code = "not_found"
-	CodeNotReady      Code = "not_ready"
-	CodeRateLimited   Code = "rate_limited"
-	CodeOverloaded    Code = "overloaded"
+	CodeUnauthorized Code = "unauthorized"
+	CodeForbidden    Code = "forbidden"
+	CodeBadRequest   Code = "bad_request"
+	CodeTooLarge     Code = "too_large"
+	CodeNotFound     Code = "not_found"
+	CodeNotReady     Code = "not_ready"
+	CodeRateLimited  Code = "rate_limited"
+	CodeOverloaded   Code = "overloaded"
+	// CodeLate: the request could not meet its deadline on an idle target.
+	CodeLate          Code = "too_late"
 	CodeDeadline      Code = "deadline"
 	CodeQuarantined   Code = "quarantined"
 	CodeNoTarget      Code = "no_target"
@@ -39,9 +41,14 @@
 	CodeKeyUnknown    Code = "key_outcome_unknown"
 	CodeKeyMismatch   Code = "key_mismatch"
 	CodeShuttingDown  Code = "shutting_down"
+	CodeCanceled      Code = "canceled"
 	CodeInternal      Code = "internal"
 )
 
+// statusClientClosed is the status recorded when the caller has gone; it is never
+// received by anyone.
+const statusClientClosed = 499
+
 // Refusal is an answer of the system itself, as opposed to one of a target.
 type Refusal struct {
 	// Status is the HTTP status for the caller.
--- a/internal/grants/client.go
+++ b/internal/grants/client.go
@@ -231,3 +231,42 @@
 	}
 	return &peerpb.Envelope{}
 }
+
+// InFlight returns the number of requests of this daemon on a target.
+func (c *Client) InFlight(target string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, h := range c.held {
+		if h.target == target {
+			n++
+		}
+	}
+	return n
+}
+
+// RunningInTier returns the number of requests of this daemon that run.
+func (c *Client) RunningInTier(tier int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, h := range c.held {
+		if h.need.Tier == tier {
+			n++
+		}
+	}
+	return n
+}
+
+// WaitingInTier returns the number of requests of this daemon that wait for a grant.
+func (c *Client) WaitingInTier(tier int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, w := range c.waiting {
+		if w.need.Tier == tier {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/owner"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/rendezvous"
 	"github.com/marjoramflow/marjoramflow/topology"
@@ -351,6 +352,7 @@
 		Need:         w.need,
 		Target:       *target,
 		CachedTokens: int(reply.CachedTokens),
+		InFlight:     int(reply.InFlight),
 		Preempted:    h.preempted,
 	}}
 }
@@ -370,8 +372,20 @@
 	return r
 }
 
+// codes maps the reasons of owners to codes for callers.
+var codes = map[string]entry.Code{
+	owner.ReasonExpired.String():  entry.CodeDeadline,
+	owner.ReasonDeadline.String(): entry.CodeLate,
+	owner.ReasonNoTarget.String(): entry.CodeNoTarget,
+	owner.ReasonTooLarge.String(): entry.CodeTooLarge,
+}
+
 func refused(reply *peerpb.ReserveReply) *entry.Refusal {
-	r := entry.Refuse(http.StatusServiceUnavailable, entry.CodeOverloaded, "the request was refused: "+reply.Reason)
+	code, ok := codes[reply.Reason]
+	if !ok {
+		code = entry.CodeOverloaded
+	}
+	r := entry.Refuse(http.StatusServiceUnavailable, code, "the request was refused: "+reply.Reason)
 	r.RetryAfter = time.Duration(reply.RetryAfterMs) * time.Millisecond
 	return r
 }
--- a/internal/owners/duty.go
+++ b/internal/owners/duty.go
@@ -56,8 +56,20 @@
 	group   *owner.Group
 	opensAt time.Time
 	open    bool
+	// early are the requests that arrived before the group opened.
+	early []earlyRequest
 }
 
+// earlyRequest is a request that waits for its group to open.
+type earlyRequest struct {
+	from string
+	at   time.Time
+	m    *peerpb.Reserve
+}
+
+// maxEarly bounds the requests that wait for one group to open.
+const maxEarly = 4096
+
 // event is one input of the duty.
 type event func(now time.Time)
 
@@ -135,9 +147,7 @@
 		}
 		d.states[target] = to
 		for k, s := range d.groups {
-			if s.open {
-				d.send(k, s, s.group.SetTargetState(now, target, to))
-			}
+			d.send(k, s, s.group.SetTargetState(now, target, to))
 		}
 	})
 }
--- a/internal/owners/groups.go
+++ b/internal/owners/groups.go
@@ -43,8 +43,7 @@
 	}
 }
 
-// applyTargets gives a group its targets. A group that is not open yet has all
-// targets down, so that requests wait until held grants are registered.
+// applyTargets gives a group its targets and their states.
 func (d *Duty) applyTargets(now time.Time, k key, s *state) {
 	targets := d.targetsOf(k)
 	infos := make([]owner.TargetInfo, len(targets))
@@ -53,7 +52,7 @@
 	}
 	d.send(k, s, s.group.SetTargets(now, infos))
 	for _, t := range targets {
-		d.send(k, s, s.group.SetTargetState(now, t.Name, d.stateOf(s, t)))
+		d.send(k, s, s.group.SetTargetState(now, t.Name, d.stateOf(t)))
 	}
 }
 
@@ -96,22 +95,29 @@
 	return slices.DeleteFunc(slices.Clone(t.Versions), func(v string) bool { return !slices.Contains(loaded, v) })
 }
 
-func (d *Duty) stateOf(s *state, t *object.Target) owner.TargetState {
-	if !s.open {
-		return owner.Down
-	}
+func (d *Duty) stateOf(t *object.Target) owner.TargetState {
 	if t.Leaving {
 		return owner.Leaving
 	}
 	return d.states[t.Name]
 }
 
+// open lets a group grant; requests that came earlier take their turn by arrival.
+func (d *Duty) open(now time.Time, k key, s *state) {
+	s.open = true
+	early := s.early
+	s.early = nil
+	for _, e := range early {
+		r := request(e.at, e.from, e.m)
+		d.send(k, s, s.group.Reserve(now, r))
+	}
+}
+
 // tick opens groups that were taken over and lets deadlines pass.
 func (d *Duty) tick(now time.Time) {
 	for k, s := range d.groups {
 		if !s.open && !now.Before(s.opensAt) {
-			s.open = true
-			d.applyTargets(now, k, s)
+			d.open(now, k, s)
 		}
 		d.send(k, s, s.group.Tick(now))
 	}
--- a/internal/owners/messages.go
+++ b/internal/owners/messages.go
@@ -1,6 +1,7 @@
 package owners
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/internal/grants"
@@ -28,14 +29,23 @@
 		d.reply(from, &peerpb.ReserveReply{Id: m.Id, Outcome: peerpb.ReserveOutcome_RESERVE_NOT_OWNER})
 		return
 	}
-	d.send(k, s, s.group.Reserve(now, request(now, from, m)))
+	if s.open {
+		d.send(k, s, s.group.Reserve(now, request(now, from, m)))
+		return
+	}
+	// A request that finds no room gets no reply, and its entry asks elsewhere.
+	if len(s.early) < maxEarly {
+		s.early = append(s.early, earlyRequest{from: from, at: now, m: m})
+	}
 }
 
 func (d *Duty) cancel(now time.Time, m *peerpb.CancelReserve) {
 	k, s := d.find(now, "", m.Service, m.Group)
-	if s != nil {
-		d.send(k, s, s.group.Cancel(now, m.Id))
+	if s == nil {
+		return
 	}
+	s.early = slices.DeleteFunc(s.early, func(e earlyRequest) bool { return e.m.Id == m.Id })
+	d.send(k, s, s.group.Cancel(now, m.Id))
 }
 
 func (d *Duty) release(now time.Time, m *peerpb.Release) {
@@ -123,6 +133,7 @@
 		Reason:       reason(decision),
 		RetryAfterMs: uint32(decision.RetryAfter.Milliseconds()),
 		Load:         d.load(k, s),
+		InFlight:     inFlight(s, decision),
 	})
 }
 
@@ -139,6 +150,14 @@
 	return decision.Reason.String()
 }
 
+// inFlight counts the requests on a granted target.
+func inFlight(s *state, decision owner.Decision) uint32 {
+	if decision.Kind != owner.Grant {
+		return 0
+	}
+	return uint32(len(s.group.InFlight(decision.Target)))
+}
+
 func (d *Duty) reply(to string, reply *peerpb.ReserveReply) bool {
 	return d.sender.Send(to, &peerpb.Envelope{Body: &peerpb.Envelope_ReserveReply{ReserveReply: reply}}) == nil
 }
--- /dev/null
+++ b/internal/suspects/suspects.go
@@ -0,0 +1,241 @@
+// Package suspects shares the quarantine book of a daemon with its peers and
+// with the table service. Every change is passed to all sessions at once; a
+// daemon that learns something new passes it on, so that a notice reaches all
+// reachable daemons over a few hops. Convictions are written to the table when it
+// answers, and read at start.
+package suspects
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/peer/peerpb"
+	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/quarantine"
+	"github.com/marjoramflow/marjoramflow/ring"
+)
+
+const (
+	// tickInterval is the precision of the book's burst window.
+	tickInterval = 100 * time.Millisecond
+	// storeRing bounds convictions that wait for the table.
+	storeRing = 1024
+	// storeTimeout bounds one call of the table; storePause follows a failure.
+	storeTimeout = 2 * time.Second
+	storePause   = 5 * time.Second
+	// tablePrefix is the prefix of the rows of convictions.
+	tablePrefix = "quarantine/"
+	// loadLimit bounds the convictions read at start.
+	loadLimit = 10000
+)
+
+// Config holds the parts of a Duty. All are required.
+type Config struct {
+	Self string
+	// Broadcast sends a message to every daemon with a session.
+	Broadcast func(m *peerpb.Envelope)
+	Table     platform.Table
+	Logger    *eventlog.Logger
+}
+
+// Duty holds the book. Its methods are safe for concurrent use.
+type Duty struct {
+	Config
+	convicted *ring.Ring[quarantine.Notice]
+
+	mu   sync.Mutex
+	book *quarantine.Book
+}
+
+// New returns a duty with an empty book.
+func New(config Config) *Duty {
+	return &Duty{
+		Config:    config,
+		convicted: ring.New[quarantine.Notice](storeRing),
+		book:      quarantine.New(quarantine.Options{}),
+	}
+}
+
+// Check says how a request with this fingerprint is to be treated.
+func (d *Duty) Check(fingerprint uint64) quarantine.State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Check(fingerprint)
+}
+
+// Finished clears a suspect that ran to its end.
+func (d *Duty) Finished(fingerprint uint64) {
+	d.mu.Lock()
+	if d.book.Check(fingerprint) == quarantine.Clear {
+		d.mu.Unlock()
+		return
+	}
+	notices := d.book.Finished(time.Now(), fingerprint)
+	d.mu.Unlock()
+	d.tell(notices)
+}
+
+// TargetLost takes the loss of a target with the requests that ran on it.
+func (d *Duty) TargetLost(target string, fingerprints []uint64) {
+	d.mu.Lock()
+	notices := d.book.TargetLost(time.Now(), target, fingerprints)
+	d.mu.Unlock()
+	d.tell(notices)
+}
+
+// OnMessage takes a notice of a peer, and passes it on when it was new.
+func (d *Duty) OnMessage(m *peerpb.Envelope) bool {
+	body, ok := m.Body.(*peerpb.Envelope_Suspicion)
+	if !ok {
+		return false
+	}
+	notice := quarantine.Notice{
+		Fingerprint: body.Suspicion.Fingerprint,
+		State:       stateOf(body.Suspicion.State),
+		Targets:     body.Suspicion.Targets,
+	}
+	d.mu.Lock()
+	before := d.book.Check(notice.Fingerprint)
+	d.book.Merge(time.Now(), notice)
+	after := d.book.Check(notice.Fingerprint)
+	d.mu.Unlock()
+	if before != after {
+		d.Broadcast(m)
+	}
+	return true
+}
+
+// tell spreads notices and keeps convictions for the table.
+func (d *Duty) tell(notices []quarantine.Notice) {
+	for _, n := range notices {
+		d.Broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Suspicion{Suspicion: &peerpb.Suspicion{
+			Fingerprint: n.Fingerprint,
+			State:       wireState(n.State),
+			Targets:     n.Targets,
+			Origin:      d.Self,
+		}}})
+		if n.State != quarantine.Convicted {
+			continue
+		}
+		d.Logger.Emit(eventlog.RequestQuarantined, eventlog.Fields{
+			"fingerprint": fmt.Sprintf("%016x", n.Fingerprint),
+			"targets":     n.Targets,
+		})
+		d.convicted.TryPush(n)
+	}
+}
+
+// Run advances the book and writes convictions until the context ends.
+func (d *Duty) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			d.mu.Lock()
+			notices := d.book.Tick(now)
+			d.mu.Unlock()
+			d.tell(notices)
+		}
+	}
+}
+
+// RunStore reads the convictions of the table once and writes new ones.
+func (d *Duty) RunStore(ctx context.Context) error {
+	for !d.load(ctx) {
+		if !wait(ctx, storePause) {
+			return nil
+		}
+	}
+	for {
+		notice, err := d.convicted.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		for !d.save(ctx, notice) {
+			if !wait(ctx, storePause) {
+				return nil
+			}
+		}
+	}
+}
+
+// row is the table row of a conviction.
+type row struct {
+	Fingerprint uint64    `json:"fingerprint"`
+	Targets     []string  `json:"targets"`
+	Since       time.Time `json:"since"`
+}
+
+func (d *Duty) load(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, err := d.Table.List(ctx, tablePrefix, loadLimit)
+	if err != nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range rows {
+		var stored row
+		if json.Unmarshal(r.Value, &stored) != nil || time.Since(stored.Since) > quarantine.DefaultExpiry {
+			continue
+		}
+		d.book.Merge(time.Now(), quarantine.Notice{Fingerprint: stored.Fingerprint, State: quarantine.Convicted, Targets: stored.Targets})
+	}
+	return true
+}
+
+// save writes one conviction. The write is the same whoever makes it, so it
+// needs no condition.
+func (d *Duty) save(ctx context.Context, n quarantine.Notice) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	value, err := json.Marshal(row{Fingerprint: n.Fingerprint, Targets: n.Targets, Since: time.Now()})
+	if err != nil {
+		return true
+	}
+	err = d.Table.Commit(ctx, platform.Write{
+		Key:           fmt.Sprintf("%s%016x", tablePrefix, n.Fingerprint),
+		Value:         value,
+		Unconditional: true,
+	})
+	return err == nil
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+var wireStates = map[quarantine.State]peerpb.SuspicionState{
+	quarantine.Clear:     peerpb.SuspicionState_SUSPICION_CLEARED,
+	quarantine.Suspect:   peerpb.SuspicionState_SUSPICION_SUSPECT,
+	quarantine.Held:      peerpb.SuspicionState_SUSPICION_HELD,
+	quarantine.Convicted: peerpb.SuspicionState_SUSPICION_CONVICTED,
+}
+
+func wireState(s quarantine.State) peerpb.SuspicionState {
+	return wireStates[s]
+}
+
+func stateOf(s peerpb.SuspicionState) quarantine.State {
+	for state, wire := range wireStates {
+		if wire == s {
+			return state
+		}
+	}
+	return quarantine.Clear
+}
--- a/rollout/aggregator.go
+++ b/rollout/aggregator.go
@@ -162,3 +162,10 @@
 	_, mark, ok := strings.Cut(origin, "#")
 	return !ok || mark == strconv.FormatUint(fence, 10)
 }
+
+// Pooled reports whether evidence with this origin was pooled by an Aggregator
+// and is meant for a holder. Other evidence comes from a Collector and is meant
+// for an Aggregator.
+func Pooled(origin string) bool {
+	return strings.Contains(origin, "#")
+}
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -102,3 +102,8 @@
 	}
 	return owned
 }
+
+// All returns all groups.
+func (t *Topology) All() []Group {
+	return t.groups
+}
