--- a/adminapi/adminapi_test.go
+++ b/adminapi/adminapi_test.go
@@ -183,7 +183,7 @@
 	var answer *Error
 	assert.Assert(t, errors.As(err, &answer))
 	assert.Equal(t, answer.Code, CodeConflict)
-	assert.DeepEqual(t, answer.Conflict, &Conflict{Base: 1, Current: 2, Digest: theirs.Digest(), Changes: []object.Change{{
+	assert.DeepEqual(t, answer.Conflict, &Conflict{Base: 1, Current: 2, Digest: ours.Digest(), Changes: []object.Change{{
 		Op: object.Changed, Kind: object.KindTarget, Name: "llm-1",
 		Fields: []object.FieldChange{{Field: "slots", Before: "8", After: "4"}},
 	}}})
--- a/adminapi/backend.go
+++ b/adminapi/backend.go
@@ -34,7 +34,7 @@
 	Current(ctx context.Context) (Config, error)
 	// Generation returns the set of a generation, or ErrNoGeneration.
 	Generation(ctx context.Context, generation uint64) (*object.Set, error)
-	// Publish makes a checked set the next generation if base is current in the
+	// Publish makes a checked set generation base+1 if base is current in the
 	// store, and returns its number. Otherwise it returns *GenerationConflict. A
 	// lost answer of the store is resolved before it returns.
 	Publish(ctx context.Context, base uint64, set *object.Set, operator string) (uint64, error)
--- a/adminapi/client.go
+++ b/adminapi/client.go
@@ -50,6 +50,8 @@
 	Token   settings.Secret
 	// TLS is used for https servers; nil takes the defaults.
 	TLS *tls.Config
+	// Transport replaces connections to the servers; nil dials them.
+	Transport http.RoundTripper
 }
 
 // NewClient returns a client. It fails when no server is given or when one is
@@ -66,12 +68,15 @@
 		}
 		c.servers = append(c.servers, base)
 	}
-	c.http = &http.Client{
-		Timeout: callTimeout,
-		Transport: &http.Transport{
+	if o.Transport == nil {
+		o.Transport = &http.Transport{
 			DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			TLSClientConfig: o.TLS,
-		},
+		}
+	}
+	c.http = &http.Client{
+		Timeout:   callTimeout,
+		Transport: o.Transport,
 		// A redirect could carry the token to another host.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -263,9 +268,7 @@
 }
 
 // change posts a change to the servers in turn. Trying again is safe, since all
-// changes are conditional on a generation or have the same effect twice. When
-// an earlier try has an unknown outcome, a conflict with the same content means
-// that it took effect.
+// changes are conditional on a generation or have the same effect twice.
 func (c *Client) change(ctx context.Context, path string, body any) (PublishResponse, error) {
 	var answer PublishResponse
 	data, err := json.Marshal(body)
@@ -278,14 +281,27 @@
 		unknown = unknown || mayHaveTakenEffect(err)
 		return err
 	})
+	if err == nil || !unknown {
+		return answer, err
+	}
+	return resolve(err)
+}
+
+// resolve decides about a change with an unknown outcome from the error of a
+// later try.
+func resolve(err error) (PublishResponse, error) {
 	var refused *Error
-	if unknown && errors.As(err, &refused) && refused.Conflict != nil && refused.Conflict.Same {
-		return PublishResponse{Generation: refused.Conflict.Current, Digest: refused.Conflict.Digest}, nil
+	if !errors.As(err, &refused) || refused.Conflict == nil {
+		return PublishResponse{}, errors.Join(ErrOutcomeUnknown, err)
 	}
-	if unknown && err != nil {
-		return answer, errors.Join(ErrOutcomeUnknown, err)
+	conflict := refused.Conflict
+	switch {
+	case conflict.Published != 0:
+		return PublishResponse{Generation: conflict.Published, Digest: conflict.Digest}, nil
+	case conflict.Unknown:
+		return PublishResponse{}, errors.Join(ErrOutcomeUnknown, err)
 	}
-	return answer, err
+	return PublishResponse{}, err
 }
 
 // mayHaveTakenEffect reports whether a failed change may still have happened.
--- a/adminapi/client_test.go
+++ b/adminapi/client_test.go
@@ -18,28 +18,62 @@
 	"github.com/marjoramflow/marjoramflow/settings"
 )
 
-// Guards against a lost answer that is reported as a conflict or as a failure
-// although the change took effect (F5).
-func TestLostAnswerIsResolvedByTheNextServer(t *testing.T) {
-	// The first server forwards the request to the backend and drops the answer.
-	var f *fixture
-	breaker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// answerDropper forwards requests to a server and drops the answers.
+func answerDropper(t *testing.T, forwardTo func() string) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		request, _ := http.NewRequest(r.Method, f.url+r.URL.Path, bytes.NewReader(body))
+		request, _ := http.NewRequest(r.Method, forwardTo()+r.URL.Path, bytes.NewReader(body))
 		request.Header = r.Header
 		if response, err := http.DefaultClient.Do(request); err == nil {
 			response.Body.Close()
 		}
 		panic(http.ErrAbortHandler)
 	}))
-	defer breaker.Close()
-	f = newFixture(t, breaker.URL)
-	answer, err := f.client.Publish(context.Background(), 0, exampleSet(t))
+	t.Cleanup(server.Close)
+	return server
+}
+
+// Guards against a lost answer that is reported as a conflict or as a failure
+// although the change took effect (F5), also when another operator has
+// published since.
+func TestLostAnswerIsResolvedByTheNextServer(t *testing.T) {
+	var f *fixture
+	meanwhile := make(chan func(), 1)
+	dropper := answerDropper(t, func() string { return f.url })
+	between := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		select {
+		case publish := <-meanwhile:
+			publish()
+		default:
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer between.Close()
+	f = newFixture(t, dropper.URL, between.URL)
+	ctx := context.Background()
+	answer, err := f.client.Publish(ctx, 0, exampleSet(t))
 	assert.NilError(t, err)
 	assert.Equal(t, answer.Generation, uint64(1))
 
-	alone := newTestClient(t, token, breaker.URL)
-	_, err = alone.Publish(context.Background(), 1, exampleSet(t))
+	theirs := exampleSet(t)
+	theirs.Targets[0].Slots = 4
+	meanwhile <- func() {
+		_, err := f.backend.Publish(ctx, 2, theirs, "bo")
+		assert.Check(t, err)
+	}
+	ours := exampleSet(t)
+	ours.Targets[0].Slots = 2
+	answer, err = f.client.Publish(ctx, 1, ours)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, answer, PublishResponse{Generation: 2, Digest: ours.Digest()})
+
+	_, err = f.client.Publish(ctx, 2, exampleSet(t))
+	assert.Equal(t, codeOfError(err), CodeConflict)
+	assert.Assert(t, !errors.Is(err, ErrOutcomeUnknown), "generation 3 has other content, so nothing took effect")
+
+	alone := newTestClient(t, token, dropper.URL)
+	_, err = alone.Publish(ctx, 3, exampleSet(t))
 	assert.Assert(t, errors.Is(err, ErrOutcomeUnknown), "%v", err)
 }
 
--- a/adminapi/errors.go
+++ b/adminapi/errors.go
@@ -67,14 +67,14 @@
 	Current uint64 `json:"current" yaml:"current"`
 	// Changes lead from the base to the current generation.
 	Changes []object.Change `json:"changes" yaml:"changes"`
-	// ChangesUnknown says that one of the two generations could not be read, so
-	// that Changes is empty.
-	ChangesUnknown bool `json:"changesUnknown,omitempty" yaml:"changesUnknown,omitempty"`
-	// Same says that the current generation has the content of the request, for
-	// example because an earlier try of it took effect.
-	Same bool `json:"same,omitempty" yaml:"same,omitempty"`
-	// Digest is the digest of the current generation; empty when it is unknown.
-	Digest string `json:"digest,omitempty" yaml:"digest,omitempty"`
+	// Unknown says that a generation could not be read, so that Changes and
+	// Published may be incomplete.
+	Unknown bool `json:"unknown,omitempty" yaml:"unknown,omitempty"`
+	// Published is Base+1 if that generation has the content of the request,
+	// because an earlier try of it took effect; otherwise 0.
+	Published uint64 `json:"published,omitempty" yaml:"published,omitempty"`
+	// Digest is the digest of the requested content.
+	Digest string `json:"digest" yaml:"digest"`
 }
 
 func newError(code Code, format string, args ...any) *Error {
--- a/adminapi/write.go
+++ b/adminapi/write.go
@@ -128,24 +128,23 @@
 	s.options.Log.Emit(eventlog.OperatorAction, fields)
 }
 
-// conflict describes what was published since base.
+// conflict describes what was published since base. A publication on base can
+// only have become generation base+1, so that generation tells whether an
+// earlier try of the request took effect.
 func (s *Server) conflict(ctx context.Context, base, current uint64, wanted *object.Set) *Error {
-	details := &Conflict{Base: base, Current: current, Changes: []object.Change{}}
+	details := &Conflict{Base: base, Current: current, Changes: []object.Change{}, Digest: wanted.Digest()}
 	answer := newError(CodeConflict, "generation %d is current, not %d; nothing was published", current, base)
 	answer.Conflict = details
-	after, err := s.generation(ctx, current)
-	if err != nil {
-		details.ChangesUnknown = true
-		return answer
+	next, err := s.generation(ctx, base+1)
+	if err == nil && next.Digest() == details.Digest {
+		details.Published = base + 1
 	}
-	details.Digest = after.Digest()
-	details.Same = details.Digest == wanted.Digest()
-	before, err := s.generation(ctx, base)
-	if err != nil {
-		details.ChangesUnknown = true
-		return answer
+	before, errBefore := s.generation(ctx, base)
+	after, errAfter := s.generation(ctx, current)
+	details.Unknown = errors.Join(err, errBefore, errAfter) != nil
+	if errBefore == nil && errAfter == nil {
+		details.Changes = changes(before, after)
 	}
-	details.Changes = changes(before, after)
 	return answer
 }
 
--- a/object/problem.go
+++ b/object/problem.go
@@ -73,6 +73,30 @@
 	return Position{}
 }
 
+// Locate adds positions to problems that were found elsewhere in the same set,
+// such as by a daemon, where positions are unknown. An object that appears
+// twice is found at its first place.
+func (s *Set) Locate(problems Problems) Problems {
+	places := map[Kind]map[string]int{}
+	for kind, names := range s.allNames() {
+		places[kind] = make(map[string]int, len(names))
+		for i := range names {
+			name := label(names, i)
+			if _, taken := places[kind][name]; !taken {
+				places[kind][name] = i
+			}
+		}
+	}
+	located := make(Problems, len(problems))
+	for i, p := range problems {
+		located[i] = p
+		if index, ok := places[p.Kind][p.Object]; ok && p.Position == (Position{}) {
+			located[i].Position = s.Positions.find(joinPath(p.Kind, index, p.Field))
+		}
+	}
+	return located
+}
+
 // Problem is one fault of a set.
 type Problem struct {
 	Position
--- a/object/rules_test.go
+++ b/object/rules_test.go
@@ -141,6 +141,15 @@
 	assert.Equal(t, found[0].String(), `b.yaml:3:3: tier "x": name: name is already taken by tier "x" (a.yaml:2:3)`)
 }
 
+// Guards against problems from a daemon that do not say where to look.
+func TestLocate(t *testing.T) {
+	set, problems := Parse("set.yaml", []byte(readExample(t)))
+	assert.NilError(t, problems.Err())
+	found := set.Locate(Problems{{Kind: KindMove, Object: "assistant-to-2", Field: "steps[1]"}, {Message: "other"}})
+	assert.Equal(t, found[0].Position.String(), "set.yaml:75:14")
+	assert.Equal(t, found[1].Position, Position{})
+}
+
 // Guards against a syntax error without a position and against dropped documents.
 func TestParseDocuments(t *testing.T) {
 	_, problems := Parse("x.yaml", []byte("tiers:\n- name: [\n"))
