--- a/bench/internal/cluster/cluster.go
+++ b/bench/internal/cluster/cluster.go
@@ -48,6 +48,8 @@
 	Engines  []*Server
 	Plains   []*Server
 	Daemons  []*Member
+	// Naive are the naive schedulers that StartNaive started.
+	Naive []*Server
 }
 
 const (
@@ -234,7 +236,8 @@
 		all = append(all, c.Platform)
 	}
 	all = append(all, c.Engines...)
-	return append(all, c.Plains...)
+	all = append(all, c.Plains...)
+	return append(all, c.Naive...)
 }
 
 // freeAddress returns a loopback address that was free a moment ago.
--- a/bench/internal/cluster/control.go
+++ b/bench/internal/cluster/control.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -93,6 +94,23 @@
 	return nil
 }
 
+// waitListening waits until each address accepts connections.
+func (c *Cluster) waitListening(ctx context.Context, addresses []string) error {
+	for _, address := range addresses {
+		err := Until(ctx, readyTimeout, func(context.Context) error {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				return err
+			}
+			return conn.Close()
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // WaitReady waits until every running daemon is ready for callers.
 func (c *Cluster) WaitReady(ctx context.Context) error {
 	for _, d := range c.Daemons {
--- a/bench/standin/engine/model.go
+++ b/bench/standin/engine/model.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// cancel stops a sequence; its prompt work so far counts as wasted unless it finished.
+// cancel stops a sequence.
 func (b *batch) cancel(s *sequence) {
 	b.mu.Lock()
 	s.canceled = true
@@ -161,6 +161,9 @@
 		s.prefilled += part
 		budget -= part
 		b.prefilledTotal += int64(part)
+		if s.from > 0 {
+			b.wastedTotal += int64(part)
+		}
 	}
 	seconds := float64(prefillChunk-budget) / b.speed.PrefillTokensPerSecond
 	step := time.Duration(seconds * float64(time.Second))
@@ -232,9 +235,13 @@
 	b.running = running
 }
 
-// drop ends a canceled sequence and counts its prompt work as wasted.
+// drop ends a canceled sequence. Prompt work before the first token is lost;
+// later the prompt is in the cache, and what a resumed request has to process
+// again is counted when it does.
 func (b *batch) drop(s *sequence) {
-	b.wastedTotal += int64(max(0, s.prefilled-s.cached))
+	if s.emitted == 0 && s.from == 0 {
+		b.wastedTotal += int64(max(0, s.prefilled-s.cached))
+	}
 	close(s.out)
 }
 
