Quote text in YAML output by an own rule

The library's encoder writes .inf and text with a trailing tab without quotes, so that reading the output gave another value. Numbers with an exponent or above 64 bits are read as numbers.

--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -6,9 +6,8 @@
 	"strings"
 	"text/tabwriter"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/internal/yamldoc"
 	"github.com/marjoramflow/marjoramflow/object"
 )
 
@@ -48,7 +47,7 @@
 		return fault.Wrap(err, "ctl.output", format)
 	}
 	if format == formatYAML {
-		if data, err = yaml.JSONToYAML(data); err != nil {
+		if data, err = yamldoc.FromJSON(data); err != nil {
 			return fault.Wrap(err, "ctl.output", format)
 		}
 	}
--- a/internal/yamldoc/scalar.go
+++ b/internal/yamldoc/scalar.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"math"
 	"reflect"
+	"regexp"
+	"strconv"
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
 // scalarFunc sets target from node. It returns a message when it cannot.
@@ -100,7 +103,11 @@
 			target.SetFloat(float64(value))
 		}
 	default:
-		return fmt.Sprintf("must be a finite number without a unit, found %s", describe(node))
+		value, ok := plainNumber(node)
+		if !ok {
+			return fmt.Sprintf("must be a finite number without a unit, found %s", describe(node))
+		}
+		target.SetFloat(value)
 	}
 	if math.IsInf(target.Float(), 0) || math.IsNaN(target.Float()) {
 		target.SetFloat(0)
@@ -109,6 +116,21 @@
 	return ""
 }
 
+// numberForm is a decimal number of YAML 1.2.
+var numberForm = regexp.MustCompile(`^[-+]?(\.[0-9]+|[0-9]+(\.[0-9]*)?)([eE][-+]?[0-9]+)?$`)
+
+// plainNumber reads numbers that the parser takes for text although YAML 1.2 has
+// them: those with an exponent, such as 1e+06, and those above 64 bits.
+func plainNumber(node ast.Node) (float64, bool) {
+	text, ok := node.(*ast.StringNode)
+	if !ok || text.Token.Type != token.StringType || !numberForm.MatchString(text.Value) {
+		return 0, false
+	}
+	// Numbers out of range become infinite, which the caller refuses.
+	value, _ := strconv.ParseFloat(text.Value, 64)
+	return value, true
+}
+
 func setDuration(node ast.Node, target reflect.Value) string {
 	text, ok := textOf(node)
 	if !ok {
--- a/object/check.go
+++ b/object/check.go
@@ -11,7 +11,13 @@
 // slashes, in row keys of the table service.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
 
+// textPattern is the form of text that other systems define, such as the name of
+// a model: printable ASCII without spaces at the ends. It may be empty.
+var textPattern = regexp.MustCompile(`^([!-~]([ -~]*[!-~])?)?$`)
+
 const (
+	// maxTextLength bounds such text.
+	maxTextLength = 128
 	// maxNameLength keeps messages between daemons, which carry names, small.
 	maxNameLength = 63
 	// MaxTiers bounds the ranks; messages between daemons hold one number per tier.
@@ -157,6 +163,13 @@
 	return ""
 }
 
+// checkText checks text that another system defines.
+func (c *checker) checkText(kind Kind, index int, field, text string) {
+	if len(text) > maxTextLength || !textPattern.MatchString(text) {
+		c.report(kind, index, field, "%q must be at most %d printable ASCII characters without spaces at the ends", text, maxTextLength)
+	}
+}
+
 // checkList reports names in a list that are unknown or repeated.
 func (c *checker) checkList(kind Kind, index int, field string, list []string, known func(string) bool, of Kind) {
 	seen := map[string]bool{}
--- a/object/check_service.go
+++ b/object/check_service.go
@@ -104,6 +104,7 @@
 	} else {
 		c.checkModel(i, o, service.Kind)
 	}
+	c.checkText(KindVersion, i, "model", o.Model)
 	if o.WeightBytes < 0 {
 		c.report(KindVersion, i, "weightBytes", "weightBytes %d is below zero", o.WeightBytes)
 	}
--- a/object/check_target.go
+++ b/object/check_target.go
@@ -14,6 +14,7 @@
 			c.report(KindTarget, i, place.field, "%s", message)
 		}
 	}
+	c.checkText(KindTarget, i, "hardware", o.Hardware)
 	if o.Slots < 1 {
 		c.report(KindTarget, i, "slots", "slots %d must be at least 1", o.Slots)
 	}
--- a/object/codec.go
+++ b/object/codec.go
@@ -11,9 +11,8 @@
 	"slices"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/internal/yamldoc"
 )
 
 // Canonical returns a copy of the set with the objects of each kind in name
@@ -57,8 +56,12 @@
 
 // FormatYAML returns the set as a file that Parse reads.
 func (s *Set) FormatYAML() ([]byte, error) {
-	data, err := yaml.MarshalWithOptions(s.Canonical(), yaml.IndentSequence(false))
-	return data, fault.Wrap(err, "object.format", "")
+	encoded, err := s.Encode()
+	if err != nil {
+		return nil, err
+	}
+	text, err := yamldoc.FromJSON(encoded)
+	return text, fault.Wrap(err, "object.format", "")
 }
 
 // Digest returns the SHA-256 digest (hex) of the objects. It does not depend on
--- a/object/rules_test.go
+++ b/object/rules_test.go
@@ -64,6 +64,8 @@
 		{"target of unknown service", "- name: depot-1\n  service: depot", "- name: depot-1\n  service: depott", `service "depott" does not exist`},
 		{"KV cache of a plain target", "  slots: 16\n", "  slots: 16\n  kvTokens: 5\n", `a target of a plain service has no KV cache`},
 		{"negative KV cache", "kvTokens: 100000", "kvTokens: -1", `kvTokens -1 is below zero`},
+		{"hardware with tab", "hardware: gen-1\n  slots: 16", "hardware: \"gen\\t\"\n  slots: 16", `hardware: "gen\t" must be at most 128 printable`},
+		{"model with line break", "assistant-2\n  service: assistant\n  model: saathi", "assistant-2\n  service: assistant\n  model: \"a\\nb\"", `model: "a\nb" must be`},
 		{"no slots", "slots: 16", "slots: 0", `slots 0 must be at least 1`},
 		{"no data centre", "  dataCentre: lhr-a\n  region: lahore\n  address: 10.0.0.2", "  region: lahore\n  address: 10.0.0.2", `target "depot-1": dataCentre: name is missing`},
 		{"data centre in two regions", "region: lahore\n  address: 10.0.0.2", "region: quetta\n  address: 10.0.0.2", `data centre "lhr-a" is in region "quetta" here and in region "lahore" at target "llm-1"`},
--- a/object/set_test.go
+++ b/object/set_test.go
@@ -116,6 +116,28 @@
 	assert.Equal(t, asYAML.Digest(), set.Digest())
 }
 
+// Guards against text in a checked set that YAML takes for something else, such
+// as a name that looks like a number.
+func TestYAMLKeepsText(t *testing.T) {
+	tricky := rapid.SampledFrom([]string{"1", "1e3", "0x1F", "1_000", "null", "true", "yes", "1.5", "2027-03-01", "00", "0o7", "1.0.", "a", "Inf", "nan"})
+	name := rapid.OneOf(tricky, rapid.StringMatching(`[A-Za-z0-9][A-Za-z0-9._-]{0,4}`))
+	model := rapid.OneOf(tricky, rapid.SampledFrom([]string{"", "~", ".inf", "- a", "a: b", "a #b", "[x", "{x", "'", "\"", "&a", "*a", "!t", "<<", "---", "%a", "@a", "`a"}),
+		rapid.StringMatching(`[!-~]([ -~]{0,6}[!-~])?`))
+	rapid.Check(t, func(t *rapid.T) {
+		n := name.Draw(t, "name")
+		s := &Set{
+			Versions:       []Version{{Name: n, Service: n, Model: model.Draw(t, "model"), WeightBytes: rapid.Int64().Draw(t, "bytes")}},
+			Targets:        []Target{{Name: n, Hardware: model.Draw(t, "hardware"), Versions: []string{n, name.Draw(t, "version")}}},
+			ClientAccounts: []ClientAccount{{Name: n, RequestsPerSecond: rapid.Float64Min(0).Draw(t, "rate")}},
+		}
+		text, err := s.FormatYAML()
+		assert.NilError(t, err)
+		fromYAML, problems := Parse("x", text)
+		assert.NilError(t, problems.Err(), "%s", text)
+		assert.Equal(t, fromYAML.Digest(), s.Digest(), "%s", text)
+	})
+}
+
 // Guards against a digest that depends on object order and so differs between
 // an operator's file and the set in force.
 func TestDigestIgnoresOrder(t *testing.T) {
