Wait for a first grant only until the first token is due

Cause: at 3 times capacity the lowest tier got first tokens after 9 s, past the 1.8 s of its tier, so most of its prefill served late answers.

Ruled out: refusing by queue length, since lengths differ a hundredfold.

Change: the first reservation of a chat ends when its first token is due; a request that has run is followed to its deadline as before.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -28,6 +28,7 @@
 	PromptTokens int
 	// OutputTokens is the expected length of the answer.
 	OutputTokens int
+	Arrived      time.Time
 	Deadline     time.Time
 }
 
@@ -74,7 +75,7 @@
 // runToEnd reserves and runs attempts until the answer is whole or the request
 // fails.
 func (c *chat) runToEnd(ctx context.Context) error {
-	grant, err := c.entry.Grants.Reserve(ctx, c.need())
+	grant, err := c.firstGrant(ctx)
 	for err == nil {
 		report, runErr := c.run(ctx, grant)
 		if errors.Is(runErr, errPreempted) {
@@ -96,6 +97,16 @@
 	return c.afterReserve(err)
 }
 
+// firstGrant waits for a target until the first token is due. A request that
+// waits longer would only use up prefill for an answer that comes too late; once
+// it has run, it is followed to its deadline.
+func (c *chat) firstGrant(ctx context.Context) (*Grant, error) {
+	due := c.request.Arrived.Add(c.request.Caller.Tier.FirstToken)
+	ctx, cancel := context.WithDeadline(ctx, due)
+	defer cancel()
+	return c.entry.Grants.Reserve(ctx, c.need())
+}
+
 func (c *chat) need() Need {
 	r := c.request
 	return Need{
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -107,6 +107,7 @@
 		Prefix:       prefix.Blocks(prompt),
 		PromptTokens: max(1, len(prompt)/charactersPerToken),
 		OutputTokens: c.server.Lengths.Output(account, match.Service.Name, maxTokens),
+		Arrived:      c.started,
 		Deadline:     c.started.Add(c.timeout(match.Route)),
 	}
 	return request, &typed, nil
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -361,8 +361,13 @@
 	return entry.Refuse(http.StatusServiceUnavailable, entry.CodeNoTarget, "no target can run this request")
 }
 
+// expiredRetryAfter is the hint to callers whose request waited in vain.
+const expiredRetryAfter = 2 * time.Second
+
 func expired() *entry.Refusal {
-	return entry.Refuse(http.StatusServiceUnavailable, entry.CodeDeadline, "the request waited until its deadline")
+	r := entry.Refuse(http.StatusServiceUnavailable, entry.CodeDeadline, "the request waited for a target until it was too late")
+	r.RetryAfter = expiredRetryAfter
+	return r
 }
 
 func orExpired(r *entry.Refusal) *entry.Refusal {
