--- /dev/null
+++ b/confsync/syncer_test.go
@@ -0,0 +1,400 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/peer/peerpb"
+)
+
+// bound is the time within which a published configuration is in force on all
+// reachable daemons (R9).
+const bound = 4 * time.Second
+
+// publish publishes on the current generation, again after conflicts.
+func (c *cluster) publish(t *testing.T, n int) uint64 {
+	t.Helper()
+	p := NewPublisher(c.store, objectStore{c.store}, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	base := uint64(0)
+	for {
+		generation, err := p.Publish(ctx, base, testSet(n), "operator")
+		var conflict *ConflictError
+		if errors.As(err, &conflict) {
+			base = conflict.Current
+			continue
+		}
+		assert.NilError(t, err)
+		return generation
+	}
+}
+
+// lacking returns the daemons of the groups that do not have the generation.
+func (c *cluster) lacking(generation uint64, groups ...int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for name, n := range c.nodes {
+		if slices.Contains(groups, c.group[name]) && n.syncer.Generation() < generation {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (c *cluster) check(t *testing.T) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.DeepEqual(t, c.problems, []string(nil))
+}
+
+// Guards against generations that fall, content that differs between daemons,
+// and daemons that do not get a publication within the bound, under random
+// kills, cuts, lost messages, lost answers and store outages.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(seed, 8)
+				c.store.loseBefore, c.store.loseAfter = 0.2, 0.2
+				c.startAll()
+				defer c.stopAll()
+				time.Sleep(time.Second)
+				for round := range 25 {
+					c.randomFault()
+					if c.storeUp() {
+						generation := c.publish(t, round)
+						time.Sleep(bound)
+						assert.DeepEqual(t, c.lacking(generation, c.groupsWithStore()...), []string(nil))
+					}
+					time.Sleep(time.Duration(c.faults.IntN(3000)) * time.Millisecond)
+				}
+				c.heal()
+				generation := c.publish(t, 1000)
+				time.Sleep(bound)
+				assert.DeepEqual(t, c.lacking(generation, 0, 1), []string(nil))
+				c.check(t)
+			})
+		})
+	}
+}
+
+func (c *cluster) randomFault() {
+	name := c.names[c.faults.IntN(len(c.names))]
+	switch c.faults.IntN(8) {
+	case 0, 1:
+		c.stop(name)
+	case 2, 3:
+		c.stop(name)
+		c.start(name)
+		// A new daemon has the bound of a publication, too.
+		time.Sleep(bound)
+	case 4:
+		c.locked(func() {
+			for _, n := range c.names {
+				c.group[n] = c.faults.IntN(2)
+			}
+			c.noStore[1] = c.faults.IntN(2) == 0
+		})
+	case 5:
+		c.locked(func() { c.group = map[string]int{}; c.noStore = map[int]bool{} })
+	case 6:
+		c.store.set(func(f *fakeStore) { f.down = !f.down })
+	case 7:
+		c.locked(func() { c.loss = c.faults.Float64() / 5 })
+	}
+}
+
+func (c *cluster) locked(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
+func (c *cluster) storeUp() bool {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return !c.store.down
+}
+
+func (c *cluster) groupsWithStore() []int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.noStore[1] {
+		return []int{0}
+	}
+	return []int{0, 1}
+}
+
+func (c *cluster) heal() {
+	c.store.set(func(f *fakeStore) { f.down = false })
+	c.locked(func() { c.group = map[string]int{}; c.noStore = map[int]bool{}; c.loss = 0 })
+	for _, name := range c.names {
+		c.mu.Lock()
+		missing := c.nodes[name] == nil
+		c.mu.Unlock()
+		if missing {
+			c.start(name)
+		}
+	}
+}
+
+// Guards against two operators who both believe that they published.
+func TestOfRacingOperatorsExactlyOneWins(t *testing.T) {
+	for seed := range uint64(50) {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore(seed)
+			store.loseBefore, store.loseAfter = 0.3, 0.3
+			type result struct {
+				generation uint64
+				err        error
+			}
+			const operators = 4
+			results := make(chan result, operators)
+			for i := range operators {
+				go func() {
+					p := NewPublisher(store, objectStore{store}, nil)
+					generation, err := p.Publish(context.Background(), 0, testSet(i), fmt.Sprint("operator ", i))
+					results <- result{generation, err}
+				}()
+			}
+			won := 0
+			for range operators {
+				r := <-results
+				var conflict *ConflictError
+				switch {
+				case r.err == nil:
+					won++
+					assert.Equal(t, r.generation, uint64(1))
+				case errors.As(r.err, &conflict):
+					assert.Equal(t, conflict.Current, uint64(1))
+				default:
+					t.Fatal(r.err)
+				}
+			}
+			assert.Equal(t, won, 1, "seed %d", seed)
+		})
+	}
+}
+
+// Guards against a publication that is reported as failed although its lost
+// answer hid a success which others have published over since.
+func TestLostAnswerIsFoundInTheHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1)
+		first := NewPublisher(store, objectStore{store}, nil)
+		_, err := first.Publish(t.Context(), 0, testSet(0), "a")
+		assert.NilError(t, err)
+		row, _, err := readRow(t.Context(), store)
+		assert.NilError(t, err)
+		token := row.Token
+		for i := range 5 {
+			_, err := first.Publish(t.Context(), uint64(i+1), testSet(i+1), "b")
+			assert.NilError(t, err)
+		}
+		row, _, err = readRow(t.Context(), store)
+		assert.NilError(t, err)
+		assert.Assert(t, row.holds(1, token))
+		assert.Assert(t, !row.holds(2, token) && !row.holds(7, token))
+	})
+}
+
+// Guards against a publication that claims "nothing was published" when the
+// outcome is not known, and against one that hangs after its context ended.
+func TestPublishWithoutAnswerIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1)
+		store.loseBefore = 1
+		p := NewPublisher(store, objectStore{store}, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := p.Publish(ctx, 0, testSet(0), "a")
+		var unknown *UnknownError
+		assert.Assert(t, errors.As(err, &unknown), "%v", err)
+		assert.Equal(t, unknown.Generation, uint64(1))
+
+		store.set(func(f *fakeStore) { f.down = true })
+		ctx, cancel = context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err = p.Publish(ctx, 0, testSet(0), "a")
+		assert.Assert(t, err != nil && !errors.As(err, &unknown), "%v", err)
+	})
+}
+
+// Guards against a daemon that does not start while the store is down although
+// its peers have the configuration.
+func TestBootstrapFromPeersWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 8)
+		c.startAll()
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		generation := c.publish(t, 1)
+		time.Sleep(bound)
+		c.store.set(func(f *fakeStore) { f.down = true })
+		for _, name := range c.names {
+			c.stop(name)
+			c.start(name)
+			assert.Assert(t, !c.nodes[name].syncer.Ready())
+			time.Sleep(bound)
+			assert.Assert(t, c.nodes[name].syncer.Ready(), name)
+			assert.Equal(t, c.nodes[name].syncer.Generation(), generation)
+		}
+		c.check(t)
+	})
+}
+
+// Guards against a set that is installed although it is not what was published.
+func TestWrongDigestIsNotInstalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 2)
+		c.startAll()
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.publish(t, 1)
+		time.Sleep(bound)
+		s := c.nodes[c.names[0]].syncer
+		data, err := jsonCodec{}.Encode(testSet(9))
+		assert.NilError(t, err)
+		for _, forged := range []*peerpb.ConfigData{
+			{Generation: 7, Data: data, Digest: "0"},
+			{Generation: 7, Base: 1, Data: []byte(`{"targets":{"remove":["t-05"]}}`), Digest: "0"},
+			{Generation: 7, Data: []byte("not JSON"), Digest: "0"},
+		} {
+			s.Handle(c.names[1], &peerpb.Envelope{Body: &peerpb.Envelope_ConfigData{ConfigData: forged}})
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, s.Generation(), uint64(1))
+		assert.Equal(t, s.Stats().DigestErrors, uint64(3))
+	})
+}
+
+// Guards against whole sets being sent where a delta is enough, also for a
+// daemon that missed several generations.
+func TestDaemonBehindGetsDeltas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 8)
+		c.startAll()
+		defer c.stopAll()
+		time.Sleep(time.Second)
+		c.publish(t, 0)
+		time.Sleep(bound)
+		cut := c.names[3]
+		c.locked(func() { c.group[cut] = 1; c.noStore[1] = true })
+		whole := c.whole()
+		for i := range 20 {
+			c.publish(t, i)
+		}
+		time.Sleep(bound)
+		c.locked(func() { c.group[cut] = 0 })
+		time.Sleep(bound)
+		assert.DeepEqual(t, c.lacking(21, 0), []string(nil))
+		assert.Equal(t, c.whole(), whole, "whole sets were sent")
+		c.check(t)
+	})
+}
+
+func (c *cluster) whole() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := uint64(0)
+	for _, n := range c.nodes {
+		sum += n.syncer.Stats().WholeSent
+	}
+	return sum
+}
+
+// Measures the time to in force at the size of a data centre, with the two
+// pollers alive and with both killed at the moment of publication, and the reads
+// of the store.
+func TestTimeToInForce(t *testing.T) {
+	t.Parallel()
+	for _, killed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			const daemons, publications = 160, 40
+			c := newCluster(1, daemons)
+			c.startAll()
+			defer c.stopAll()
+			time.Sleep(2 * time.Second)
+			c.publish(t, 0)
+			time.Sleep(10 * time.Second)
+			c.store.set(func(f *fakeStore) { f.rowReads, f.objectReads = 0, 0 })
+			c.locked(func() { c.bytes = 0 })
+			start := time.Now()
+			var all []time.Duration
+			for i := range publications {
+				if killed {
+					c.killPollers()
+				}
+				generation := c.publish(t, i+1)
+				published := time.Now()
+				time.Sleep(bound)
+				assert.DeepEqual(t, c.lacking(generation, 0), []string(nil))
+				c.locked(func() {
+					for _, at := range c.arrival[generation] {
+						all = append(all, at.Sub(published))
+					}
+				})
+				c.heal()
+				time.Sleep(2 * time.Second)
+			}
+			slices.Sort(all)
+			elapsed := time.Since(start).Seconds()
+			t.Logf("both pollers killed: %t; time to in force: p50 %v, p95 %v, p99 %v, max %v", killed,
+				quantile(all, 0.5), quantile(all, 0.95), quantile(all, 0.99), all[len(all)-1])
+			c.stopAll()
+			t.Logf("row reads %.1f/s, object reads %.2f/s, %.0f bytes of data per publication and daemon",
+				float64(c.store.rowReads)/elapsed, float64(c.store.objectReads)/elapsed, float64(c.bytes)/publications/daemons)
+			c.check(t)
+		})
+	}
+}
+
+func (c *cluster) killPollers() {
+	for _, name := range c.names {
+		if newPlace("lhr-a", name, c.names).rank < pollers {
+			c.stop(name)
+		}
+	}
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	return sorted[int(q*float64(len(sorted)-1))].Round(time.Millisecond)
+}
+
+// Guards against a delta that does not lead to the set it was made for, and a
+// digest that depends on the order of objects.
+func TestCodecDeltas(t *testing.T) {
+	codec := jsonCodec{}
+	sets := []*object.Set{{}, testSet(1), testSet(5), testSet(40)}
+	for _, from := range sets {
+		for _, to := range sets {
+			delta, err := codec.Delta(from, to)
+			assert.NilError(t, err)
+			got, err := codec.Apply(from, delta)
+			assert.NilError(t, err)
+			gotDigest, err := codec.Digest(got)
+			assert.NilError(t, err)
+			wantDigest, err := codec.Digest(to)
+			assert.NilError(t, err)
+			assert.Equal(t, gotDigest, wantDigest)
+		}
+	}
+	reversed := testSet(1)
+	slices.Reverse(reversed.Targets)
+	a, _ := codec.Digest(reversed)
+	b, _ := codec.Digest(testSet(1))
+	assert.Equal(t, a, b)
+}
