Name seeds and make the drain time a setting

Cause: a session needs the peer's name, and seeds held addresses only; the time left to the balancer was a constant.

Change: seeds carry name, data centre and address; limits.drain (2 s).

Conclusion: a daemon can find its peers while the VM list is down.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -141,6 +141,7 @@
 			Incarnation: d.incarnation,
 		},
 		VMs:    d.vms,
+		Seeds:  seeds(s.Seeds),
 		Logger: d.logger,
 		OnLive: d.onLive,
 		OnGone: d.onGone,
@@ -168,6 +169,14 @@
 	return nil
 }
 
+func seeds(list []settings.Seed) []peer.Address {
+	out := make([]peer.Address, len(list))
+	for i, s := range list {
+		out[i] = peer.Address{Name: s.Name, Address: s.Address, DataCentre: s.DataCentre}
+	}
+	return out
+}
+
 func tlsFiles(t settings.TLS) *peer.TLSFiles {
 	if t.Certificate == "" {
 		return nil
@@ -461,12 +470,9 @@
 func (d *Daemon) stop(ctx context.Context) error {
 	d.stopping.Store(true)
 	d.logger.Emit(eventlog.DaemonStopping, eventlog.Fields{"open": d.frontend.Open()})
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Limits.Shutdown)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Limits.Drain+d.settings.Limits.Shutdown)
 	defer cancel()
 	d.members.Leave(ctx)
-	pause(ctx, balancerDelay)
+	pause(ctx, d.settings.Limits.Drain)
 	return d.frontend.Shutdown(ctx)
 }
-
-// balancerDelay is the time in which the balancer notices that readiness is off.
-const balancerDelay = 2 * time.Second
--- a/settings/check.go
+++ b/settings/check.go
@@ -191,12 +191,14 @@
 func (c *checker) seeds(s *Settings) {
 	for i, seed := range s.Seeds {
 		key := fmt.Sprintf("seeds[%d]", i)
-		address, ok := c.address(key, seed)
+		c.name(key+".name", seed.Name, namePattern)
+		c.name(key+".dataCentre", seed.DataCentre, placePattern)
+		address, ok := c.address(key+".address", seed.Address)
 		if ok && (address.Port() == 0 || address.Addr().IsUnspecified()) {
-			c.report(key, "%q is not the address of one daemon", seed)
+			c.report(key+".address", "%q is not the address of one daemon", seed.Address)
 		}
-		if slices.Contains(s.Seeds[:i], seed) {
-			c.report(key, "address %s is listed twice", seed)
+		if slices.ContainsFunc(s.Seeds[:i], func(o Seed) bool { return o.Address == seed.Address }) {
+			c.report(key+".address", "address %s is listed twice", seed.Address)
 		}
 	}
 }
@@ -255,6 +257,7 @@
 	c.positive("limits.openRequests", float64(l.OpenRequests))
 	c.duration("limits.headerTimeout", l.HeaderTimeout)
 	c.duration("limits.idleTimeout", l.IdleTimeout)
+	c.duration("limits.drain", l.Drain)
 	c.duration("limits.shutdown", l.Shutdown)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,12 +26,20 @@
 
 	Listen   Listen   `yaml:"listen"`
 	Platform Platform `yaml:"platform"`
-	// Seeds are peer addresses to try while the VM list cannot be read.
-	Seeds  []string `yaml:"seeds"`
-	TLS    TLS      `yaml:"tls"`
-	Tokens Tokens   `yaml:"tokens"`
-	Limits Limits   `yaml:"limits"`
-	Log    Log      `yaml:"log"`
+	// Seeds are peers to try while the VM list cannot be read.
+	Seeds  []Seed `yaml:"seeds"`
+	TLS    TLS    `yaml:"tls"`
+	Tokens Tokens `yaml:"tokens"`
+	Limits Limits `yaml:"limits"`
+	Log    Log    `yaml:"log"`
+}
+
+// Seed is a peer that is known without the VM list.
+type Seed struct {
+	Name       string `yaml:"name"`
+	DataCentre string `yaml:"dataCentre"`
+	// Address is IP:port.
+	Address string `yaml:"address"`
 }
 
 // Listen holds the addresses (IP:port) that the daemon listens on.
@@ -73,7 +81,10 @@
 	HeaderTimeout time.Duration `yaml:"headerTimeout"`
 	// IdleTimeout closes idle caller connections.
 	IdleTimeout time.Duration `yaml:"idleTimeout"`
-	// Shutdown bounds a graceful stop.
+	// Drain is the time between readiness off and the closing of the callers'
+	// port, in which the balancer notices.
+	Drain time.Duration `yaml:"drain"`
+	// Shutdown bounds a graceful stop after that.
 	Shutdown time.Duration `yaml:"shutdown"`
 	// OpenRequests bounds the requests held at once; more are refused.
 	OpenRequests int `yaml:"openRequests"`
@@ -92,6 +103,7 @@
 	defaultHeaderBytes   = 32 << 10
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
+	defaultDrain         = 2 * time.Second
 	defaultShutdown      = 60 * time.Second
 	defaultOpenRequests  = 4096
 )
@@ -104,6 +116,7 @@
 			HeaderBytes:   defaultHeaderBytes,
 			HeaderTimeout: defaultHeaderTimeout,
 			IdleTimeout:   defaultIdleTimeout,
+			Drain:         defaultDrain,
 			Shutdown:      defaultShutdown,
 			OpenRequests:  defaultOpenRequests,
 		},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -28,7 +28,8 @@
   objects: http://10.0.0.9:9001
   weights: http://10.0.0.9:9002
   vms: http://10.0.0.9:9003
-seeds: [10.0.0.2:8082]
+seeds:
+  - {name: entry-2, dataCentre: lhr-a, address: "10.0.0.2:8082"}
 tls:
   certificate: /etc/marjoram/tls.crt
   key: /etc/marjoram/tls.key
@@ -62,11 +63,11 @@
 // Each case breaks one setting; it guards against a daemon that starts with it.
 func TestProblems(t *testing.T) {
 	cases := []struct{ name, old, new, want string }{
-		{"unknown key", "log:\n", "logs: 1\nlog:\n", "s.yaml:25: logs: unknown key"},
-		{"missing unit", "shutdown: 30s", "shutdown: 30", "s.yaml:24: limits.shutdown: needs a duration with its unit"},
+		{"unknown key", "log:\n", "logs: 1\nlog:\n", "s.yaml:26: logs: unknown key"},
+		{"missing unit", "shutdown: 30s", "shutdown: 30", "s.yaml:25: limits.shutdown: needs a duration with its unit"},
 		{"bad unit", "shutdown: 30s", "shutdown: 30sec", `found "30sec"`},
 		{"size with unit", "shutdown: 30s", "bodyBytes: 4MiB", "limits.bodyBytes: must be a whole number"},
-		{"zero bound", "shutdown: 30s", "openRequests: 0", "s.yaml:24: limits.openRequests: 0 must be at least 1"},
+		{"zero bound", "shutdown: 30s", "openRequests: 0", "s.yaml:25: limits.openRequests: 0 must be at least 1"},
 		{"negative timeout", "shutdown: 30s", "idleTimeout: -1s", "limits.idleTimeout: -1s must be above zero"},
 		{"no name", "name: entry-1\n", "", "s.yaml: name: is missing"},
 		{"no data centre", "dataCentre: lhr-a\n", "", "dataCentre: is missing"},
@@ -77,8 +78,8 @@
 		{"clash with all addresses", "10.0.0.1:8081", "0.0.0.0:8080", "clashes with listen.callers"},
 		{"host name", "admin: 10.0.0.1", "admin: localhost", `listen.admin: "localhost:8081" must be an IP number and a port`},
 		{"no admin address", "  admin: 10.0.0.1:8081\n", "", "listen.admin: is missing"},
-		{"seed by name", "[10.0.0.2:8082]", "[peer:8082]", "s.yaml:13: seeds[0]: "},
-		{"seed twice", "[10.0.0.2:8082]", "[10.0.0.2:8082, 10.0.0.2:8082]", "seeds[1]: address 10.0.0.2:8082 is listed twice"},
+		{"seed by name", "\"10.0.0.2:8082\"", "\"peer:8082\"", "s.yaml:14: seeds[0].address: "},
+		{"seed twice", "tls:\n", "  - {name: entry-3, dataCentre: lhr-a, address: \"10.0.0.2:8082\"}\ntls:\n", "seeds[1].address: address 10.0.0.2:8082 is listed twice"},
 		{"no table", "  table: http://10.0.0.9:9000\n", "", "platform.table: is missing"},
 		{"platform by name", "http://10.0.0.9:9000", "http://table:9000", `platform.table: host "table" must be an IP number`},
 		{"platform without scheme", "http://10.0.0.9:9000", "10.0.0.9:9000", "platform.table: must be a URL"},
