Eject slow and failing targets on the evidence of their owner

Cause: a target that slows tenfold kept its share of the work.

Considered: ejection by each entry on its own samples. Ruled out, since an entry sees a few requests per target and minute at the planned size.

Change: the owner feeds the outcome of each grant to the detector, marks ejected targets, and sends them a small trial request until they recover.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -293,7 +293,13 @@
 		OnLost:   func(target string, ran []uint64) { d.suspects.TargetLost(target, ran) },
 		Logger:   d.logger,
 	})
-	d.owners = owners.New(d.settings.Name, d.mesh, d.probes.Lost)
+	d.owners = owners.New(owners.Config{
+		Self:   d.settings.Name,
+		Sender: d.mesh,
+		OnLost: d.probes.Lost,
+		Trial:  d.trial,
+		Logger: d.logger,
+	})
 	d.grants = grants.New(grants.Config{
 		Self:        d.settings.Name,
 		Sender:      d.mesh,
@@ -425,7 +431,7 @@
 	defer cancelDuties()
 	group, groupCtx := errgroup.WithContext(duties)
 	for _, duty := range d.duties() {
-		group.Go(func() error { return duty(groupCtx) })
+		group.Go(func() error { return d.runDuty(groupCtx, duty) })
 	}
 	group.Go(func() error { return d.frontend.Serve(d.callers) })
 	d.logger.Emit(eventlog.DaemonStarted, eventlog.Fields{
@@ -447,6 +453,15 @@
 	return err
 }
 
+// runDuty runs one duty; its error ends the daemon.
+func (d *Daemon) runDuty(ctx context.Context, duty func(context.Context) error) error {
+	err := duty(ctx)
+	if err != nil {
+		d.logger.EmitError(eventlog.DutyFailed, err, nil)
+	}
+	return err
+}
+
 // duties are the goroutines of the daemon.
 func (d *Daemon) duties() []func(context.Context) error {
 	return []func(context.Context) error{
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -22,6 +22,8 @@
 	RequestQuarantined  Event = 1302
 	TargetDown          Event = 1401
 	TargetUp            Event = 1402
+	TargetEjected       Event = 1403
+	TargetReadmitted    Event = 1404
 	MoveChanged         Event = 1501
 	MoveCut             Event = 1502
 	PlatformUnavailable Event = 1601
@@ -50,6 +52,8 @@
 	RequestQuarantined:  {logrus.WarnLevel, "request fingerprint is quarantined"},
 	TargetDown:          {logrus.WarnLevel, "target does not answer its probe"},
 	TargetUp:            {logrus.InfoLevel, "target answers its probe"},
+	TargetEjected:       {logrus.WarnLevel, "target is ejected on the evidence of its requests"},
+	TargetReadmitted:    {logrus.InfoLevel, "ejected target passed its trials and is used again"},
 	MoveChanged:         {logrus.InfoLevel, "move changed its phase or share"},
 	MoveCut:             {logrus.WarnLevel, "version was cut to zero share"},
 	PlatformUnavailable: {logrus.WarnLevel, "platform service does not answer"},
--- a/internal/owners/duty.go
+++ b/internal/owners/duty.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/estimate"
+	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/outlier"
 	"github.com/marjoramflow/marjoramflow/owner"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/prefix"
@@ -32,7 +34,9 @@
 type Duty struct {
 	self   string
 	sender Sender
+	logger *eventlog.Logger
 	onLost func(target string, running []owner.Running)
+	trial  Trial
 	events *ring.Ring[event]
 	model  *estimate.Model
 	groups map[key]*state
@@ -43,6 +47,8 @@
 	// fallbackShare divides the slots of targets in fallback groups.
 	fallbackShare int
 	local         *topology.Topology
+	detector      *outlier.Detector
+	judged        time.Time
 }
 
 // key names a group of the own data centre.
@@ -73,13 +79,26 @@
 // event is one input of the duty.
 type event func(now time.Time)
 
-// New returns a duty without groups. It calls onLost when an entry reports that a
-// connection to a target broke, with the requests that ran there.
-func New(self string, sender Sender, onLost func(target string, running []owner.Running)) *Duty {
+// Config holds the parts of a Duty. All are required.
+type Config struct {
+	Self   string
+	Sender Sender
+	// OnLost is told that a connection to a target broke, with the requests that
+	// ran there.
+	OnLost func(target string, running []owner.Running)
+	Trial  Trial
+	Logger *eventlog.Logger
+}
+
+// New returns a duty without groups.
+func New(config Config) *Duty {
 	return &Duty{
-		self:          self,
-		sender:        sender,
-		onLost:        onLost,
+		self:          config.Self,
+		sender:        config.Sender,
+		onLost:        config.OnLost,
+		trial:         config.Trial,
+		logger:        config.Logger,
+		detector:      outlier.New(),
 		events:        ring.New[event](ringSize),
 		model:         estimate.New(),
 		groups:        make(map[key]*state),
@@ -146,9 +165,7 @@
 			return
 		}
 		d.states[target] = to
-		for k, s := range d.groups {
-			d.send(k, s, s.group.SetTargetState(now, target, to))
-		}
+		d.applyState(now, target)
 	})
 }
 
@@ -181,8 +198,3 @@
 		then(running)
 	})
 }
-
-// Output predicts the length of an answer; it runs in the caller's goroutine.
-func (d *Duty) Model() *estimate.Model {
-	return d.model
-}
--- a/internal/owners/groups.go
+++ b/internal/owners/groups.go
@@ -34,6 +34,7 @@
 		}
 		d.applyTargets(now, k, s)
 	}
+	d.setDetectorTargets(now)
 }
 
 func (d *Duty) newState(k key, opensAt time.Time) *state {
@@ -99,7 +100,7 @@
 	if t.Leaving {
 		return owner.Leaving
 	}
-	return d.states[t.Name]
+	return d.combined(t.Name)
 }
 
 // open lets a group grant; requests that came earlier take their turn by arrival.
@@ -115,6 +116,7 @@
 
 // tick opens groups that were taken over and lets deadlines pass.
 func (d *Duty) tick(now time.Time) {
+	d.judgeTargets(now)
 	for k, s := range d.groups {
 		if !s.open && !now.Before(s.opensAt) {
 			d.open(now, k, s)
--- a/internal/owners/messages.go
+++ b/internal/owners/messages.go
@@ -56,6 +56,7 @@
 	if m.Outcome == peerpb.ReleaseOutcome_RELEASE_TARGET_LOST {
 		d.onLost(m.Target, s.group.InFlight(m.Target))
 	}
+	d.observeTarget(now, s, m)
 	d.send(k, s, s.group.Release(now, owner.Report{
 		ID:           m.Id,
 		Target:       m.Target,
