Keep waiting requests only while they can end in time

Cause: under overload, requests were dispatched at the last moment and ended late, so their prefill was wasted; a full queue could shed a middle tier while a lower one ran.

Considered: to leave slow targets out of a request's class altogether. Ruled out, because a lower tier then got a slow target while a higher one waited and was shed later.

Change: a request may wait at most 0.6 of its spare time, predicted from the queue and corrected by observed waits; targets where it would end late are used only when nothing else of its tier suits them, and before any lower tier.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -11,10 +11,14 @@
 // closer to shortest-first, a smaller one closer to first come, first served.
 const lengthFactor = 4
 
-// Class is the set of targets that can run a request, one bit per target.
-// Exclusive requests run only where no other exclusive request runs.
+// Class says which targets can run a request, one bit per target. Exclusive
+// requests run only where no other exclusive request runs.
 type Class struct {
-	Targets   uint64
+	// Targets are the targets that suit the request.
+	Targets uint64
+	// Possible are targets that it takes when nothing of its tier suits them; a
+	// lower tier does not get them before it. They include Targets.
+	Possible  uint64
 	Exclusive bool
 }
 
@@ -109,14 +113,14 @@
 // Next returns the item to dispatch first among those that can run on one of
 // the free targets. Exclusive items are limited to the targets in exclusive.
 // Tiers below (larger than) the tier of withheld do not get its targets. It
-// returns nil when there is none.
-func (q *Queue[V]) Next(free, exclusive uint64, withheld Withheld) *Item[V] {
+// returns the item and the free targets that it may use, or nil.
+func (q *Queue[V]) Next(free, exclusive uint64, withheld Withheld) (*Item[V], uint64) {
 	for i, t := range q.tiers {
-		if item := t.next(withheld.Allow(i, free), exclusive); item != nil {
-			return item
+		if item, usable := t.next(withheld.Allow(i, free), exclusive); item != nil {
+			return item, usable
 		}
 	}
-	return nil
+	return nil, 0
 }
 
 // SetTimer changes the time at which Due returns the item.
@@ -182,15 +186,31 @@
 	return total
 }
 
+// SetClass changes the class of a waiting item.
+func (q *Queue[V]) SetClass(item *Item[V], class Class) {
+	if class == item.Class {
+		return
+	}
+	t := q.tiers[item.Tier]
+	t.remove(item)
+	item.Class = class
+	t.add(item)
+}
+
+// CountUpTo returns the number of waiting items of a tier and all higher ones.
+func (q *Queue[V]) CountUpTo(tier int) int {
+	count := 0
+	for _, t := range q.tiers[:min(tier+1, len(q.tiers))] {
+		count += t.count
+	}
+	return count
+}
+
 // Reclassify recomputes the class of every item. Its cost grows with the number
 // of waiting items; it is meant for changes of the target set.
 func (q *Queue[V]) Reclassify(class func(item *Item[V]) Class) {
 	for _, item := range slices.Clone(q.timers.items) {
-		if next := class(item); next != item.Class {
-			q.tiers[item.Tier].remove(item)
-			item.Class = next
-			q.tiers[item.Tier].add(item)
-		}
+		q.SetClass(item, class(item))
 	}
 }
 
--- a/admission/tier.go
+++ b/admission/tier.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// workBuckets is the number of powers of two, in milliseconds, by which the
+// WorkBuckets is the number of powers of two, in milliseconds, by which the
 // waiting work of an account is counted. The last one starts at 32 s.
-const workBuckets = 16
+const WorkBuckets = 16
 
 // tier holds the waiting items of one tier.
 type tier[V any] struct {
@@ -27,7 +27,7 @@
 	account string
 	start   float64
 	lanes   []*lane[V]
-	work    [workBuckets]time.Duration
+	work    [WorkBuckets]time.Duration
 }
 
 // lane holds the items of one account in one class.
@@ -59,7 +59,7 @@
 		l.class.lanes.fix(l)
 	}
 	l.class.work += item.Work
-	l.flow.work[bucket(item.Work)] += item.Work
+	l.flow.work[WorkBucket(item.Work)] += item.Work
 	t.count++
 	item.older = t.newest
 	if t.newest != nil {
@@ -73,7 +73,7 @@
 	l.items.remove(item)
 	item.lane = nil
 	l.class.work -= item.Work
-	l.flow.work[bucket(item.Work)] -= item.Work
+	l.flow.work[WorkBucket(item.Work)] -= item.Work
 	t.count--
 	t.unlink(item)
 	if len(l.items.items) > 0 {
@@ -170,24 +170,35 @@
 	}
 }
 
-func (t *tier[V]) next(free, exclusive uint64) *Item[V] {
+// next returns the first item that a free target suits, else the first one for
+// which a free target is possible.
+func (t *tier[V]) next(free, exclusive uint64) (*Item[V], uint64) {
+	suits := func(c Class) uint64 { return c.Targets }
+	if item, usable := t.first(suits, free, exclusive); item != nil {
+		return item, usable
+	}
+	return t.first(func(c Class) uint64 { return c.Possible }, free, exclusive)
+}
+
+func (t *tier[V]) first(mask func(Class) uint64, free, exclusive uint64) (*Item[V], uint64) {
 	var best *lane[V]
+	usable := uint64(0)
 	for _, c := range t.classes {
-		usable := c.Targets & free
+		can := mask(c.Class) & free
 		if c.Exclusive {
-			usable &= exclusive
+			can &= exclusive
 		}
-		if usable == 0 {
+		if can == 0 {
 			continue
 		}
 		if first := c.lanes.items[0]; best == nil || before(first, best) {
-			best = first
+			best, usable = first, can
 		}
 	}
 	if best == nil {
-		return nil
+		return nil, 0
 	}
-	return best.items.items[0]
+	return best.items.items[0], usable
 }
 
 func (t *tier[V]) sharedWork(mine Class) time.Duration {
@@ -203,13 +214,14 @@
 func (t *tier[V]) fairWork(account string, work time.Duration) time.Duration {
 	own := time.Duration(0)
 	if f := t.flows[account]; f != nil {
-		for _, w := range f.work[:bucket(work)+1] {
+		for _, w := range f.work[:WorkBucket(work)+1] {
 			own += w
 		}
 	}
 	return (own + work) * time.Duration(t.active+1)
 }
 
-func bucket(work time.Duration) int {
-	return min(bits.Len64(uint64(max(work, 0).Milliseconds())), workBuckets-1)
+// WorkBucket returns the bucket of an amount of work.
+func WorkBucket(work time.Duration) int {
+	return min(bits.Len64(uint64(max(work, 0).Milliseconds())), WorkBuckets-1)
 }
--- a/estimate/tracker.go
+++ b/estimate/tracker.go
@@ -15,6 +15,7 @@
 // scale, so errors by a factor of two up and down weigh the same.
 type tracker struct {
 	log     float64
+	current float64
 	samples int
 }
 
@@ -23,7 +24,7 @@
 		return
 	}
 	if t.samples == 0 {
-		t.log = math.Log(value)
+		t.log, t.current = math.Log(value), value
 		t.samples = 1
 		return
 	}
@@ -31,10 +32,12 @@
 	gain := max(settledGain, 1/float64(t.samples))
 	step := math.Log(value) - t.log
 	t.log += gain * max(-maxStep, min(maxStep, step))
+	t.current = math.Exp(t.log)
 }
 
+// value is read far more often than it changes.
 func (t *tracker) value() float64 {
-	return math.Exp(t.log)
+	return t.current
 }
 
 // quantile follows a quantile on a logarithmic scale by stochastic
@@ -42,6 +45,7 @@
 // gain*(1-q) when it lies below.
 type quantile struct {
 	log     float64
+	current float64
 	samples int
 }
 
@@ -54,7 +58,7 @@
 	}
 	e.samples++
 	if e.samples == 1 {
-		e.log = math.Log(value)
+		e.log, e.current = math.Log(value), value
 		return
 	}
 	gain := max(quantileGain, 2/float64(e.samples))
@@ -63,8 +67,42 @@
 	} else {
 		e.log -= gain * (1 - q)
 	}
+	e.current = math.Exp(e.log)
 }
 
 func (e *quantile) value() float64 {
-	return math.Exp(e.log)
+	return e.current
+}
+
+// Ratio follows the typical ratio of an actual to a predicted quantity. The zero
+// value stands for 1.
+type Ratio struct {
+	tracker tracker
+}
+
+const (
+	// minRatio and maxRatio bound a correction, so that a burst cannot distort
+	// predictions without limit.
+	minRatio = 0.5
+	maxRatio = 8
+)
+
+// Observe compares an actual value with the prediction made for it. Predictions
+// of zero are ignored.
+func (r *Ratio) Observe(predicted, actual float64) {
+	if predicted <= 0 || actual <= 0 {
+		return
+	}
+	if r.tracker.samples == 0 {
+		r.tracker = tracker{current: 1, samples: settledSamples}
+	}
+	r.tracker.observe(max(minRatio, min(maxRatio, actual/predicted)))
+}
+
+// Value returns the factor that corrects a prediction.
+func (r *Ratio) Value() float64 {
+	if r.tracker.samples == 0 {
+		return 1
+	}
+	return r.tracker.value()
 }
--- a/owner/assign.go
+++ b/owner/assign.go
@@ -50,37 +50,30 @@
 		numbers[i] = strconv.Itoa(i)
 	}
 	for _, name := range names {
-		for _, number := range rendezvous.Rank(service+"/"+name, numbers) {
-			i, _ := strconv.Atoi(number)
-			if len(groups[i].Targets) < MaxGroupTargets {
-				groups[i].Targets = append(groups[i].Targets, name)
-				break
-			}
+		number := rendezvous.Owner(service+"/"+name, numbers)
+		i, _ := strconv.Atoi(number)
+		groups[i].Targets = append(groups[i].Targets, name)
+		if len(groups[i].Targets) == MaxGroupTargets {
+			numbers = slices.DeleteFunc(numbers, func(n string) bool { return n == number })
 		}
 	}
 	return groups
 }
 
 // assignDaemons gives each group the first daemon by rendezvous rank that owns
-// the fewest groups so far: nobody owns a second group before everybody has one.
+// no group yet; when every daemon owns one, a second round begins.
 func assignDaemons(groups []Assignment, daemons []string) {
-	if len(daemons) == 0 {
-		return
-	}
 	members := slices.Clone(daemons)
 	slices.Sort(members)
 	members = slices.Compact(members)
-	owned := make(map[string]int, len(members))
+	var open []string
 	for i := range groups {
-		round := i / len(members)
-		key := groups[i].Service + "/" + strconv.Itoa(groups[i].Number)
-		for _, daemon := range rendezvous.Rank(key, members) {
-			if owned[daemon] <= round {
-				groups[i].Daemon = daemon
-				owned[daemon]++
-				break
-			}
+		if len(open) == 0 {
+			open = slices.Clone(members)
 		}
+		key := groups[i].Service + "/" + strconv.Itoa(groups[i].Number)
+		groups[i].Daemon = rendezvous.Owner(key, open)
+		open = slices.DeleteFunc(open, func(d string) bool { return d == groups[i].Daemon })
 	}
 }
 
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -37,21 +37,22 @@
 	blocked := uint64(0)
 	for {
 		free, exclusive := g.places()
-		item := g.queue.Next(free&^blocked, exclusive, withheld)
+		item, usable := g.queue.Next(free&^blocked, exclusive, withheld)
 		if item == nil {
 			break
 		}
-		allowed := withheld.Allow(item.Tier, free&^blocked)
-		j := g.rescue(item, allowed, exclusive)
-		if g.grant(now, j, allowed, exclusive) {
+		j := item.Value
+		if rescued, mask := g.rescue(item.Tier, withheld.Allow(item.Tier, free&^blocked), exclusive); rescued != nil {
+			j, usable = rescued, mask
+		}
+		if g.grant(now, j, usable) {
 			continue
 		}
-		usable := j.item.Class.Targets & free
 		if len(aside) == maxAside || j.passed >= maxPassed {
 			blocked |= usable
 			continue
 		}
-		withheld.Targets |= usable
+		withheld.Targets |= j.item.Class.Possible & free
 		withheld.Tier = min(withheld.Tier, j.item.Tier)
 		aside = append(aside, j)
 		g.setAside(j)
@@ -84,13 +85,9 @@
 	return free, exclusive
 }
 
-// grant dispatches a waiting request to the best of the free targets that it
+// grant dispatches a waiting request to the best of the usable targets that it
 // fits on. It reports false when it fits on none.
-func (g *Group) grant(now time.Time, j *job, free, exclusive uint64) bool {
-	usable := j.item.Class.Targets & free
-	if j.request.Suspect {
-		usable &= exclusive
-	}
+func (g *Group) grant(now time.Time, j *job, usable uint64) bool {
 	c := &g.candidates
 	c.targets, c.views, c.starts = c.targets[:0], c.views[:0], c.starts[:0]
 	for _, t := range g.targets {
@@ -112,6 +109,7 @@
 		return false
 	}
 	t := c.targets[g.options.Picker.Pick(c.views)]
+	g.observeWait(now, j)
 	g.queue.Take(&j.item)
 	g.place(now, j, t)
 	g.decide(Grant, j, Decision{Target: t.info.Name, CachedTokens: j.cached})
--- a/owner/group.go
+++ b/owner/group.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/admission"
+	"github.com/marjoramflow/marjoramflow/estimate"
 	"github.com/marjoramflow/marjoramflow/prefix"
 )
 
@@ -30,6 +31,9 @@
 	// meanWork is the mean work of the requests granted last.
 	meanWork  time.Duration
 	nextSpeed time.Time
+	// waits corrects predicted waits by tier and amount of work: work of higher tiers that arrives
+	// later makes lower tiers wait longer than the queue alone tells.
+	waits [MaxTier + 1][admission.WorkBuckets]estimate.Ratio
 
 	// out collects the decisions of the call in progress.
 	out []Decision
@@ -74,11 +78,7 @@
 	}
 	g.byName = kept
 	g.nextSpeed = time.Time{}
-	g.queue.Reclassify(func(item *admission.Item[*job]) admission.Class {
-		return g.classOf(&item.Value.request)
-	})
-	g.refuseStranded()
-	g.rearm(now)
+	g.reconsider(now)
 	return g.finish(now)
 }
 
@@ -94,8 +94,7 @@
 		t.index.Reset()
 	}
 	t.state = state
-	g.refuseStranded()
-	g.rearm(now)
+	g.reconsider(now)
 	return g.finish(now)
 }
 
@@ -121,7 +120,7 @@
 	if j == nil || j.target == nil || (report.Target != "" && report.Target != j.target.info.Name) {
 		return g.finish(now)
 	}
-	g.observe(j, report)
+	g.observe(now, j, report)
 	if report.Outcome == OutcomePreempted {
 		g.requeue(now, j, report)
 	} else {
@@ -278,10 +277,20 @@
 	g.drop(j)
 }
 
+// reconsider adapts the waiting requests to a change of the targets.
+func (g *Group) reconsider(now time.Time) {
+	g.queue.Reclassify(func(item *admission.Item[*job]) admission.Class {
+		class, _ := g.narrow(now, item.Value)
+		return class
+	})
+	g.refuseStranded()
+	g.rearm(now)
+}
+
 // refuseStranded refuses waiting requests that no target in state Up can run.
 func (g *Group) refuseStranded() {
 	up := g.upMask()
-	g.queue.EachClass(func(class admission.Class) bool { return class.Targets&up == 0 },
+	g.queue.EachClass(func(class admission.Class) bool { return class.Possible&up == 0 },
 		func(item *admission.Item[*job]) { g.refuse(item.Value, ReasonNoTarget, 0) })
 }
 
@@ -303,6 +312,7 @@
 			class.Targets |= t.bit
 		}
 	}
+	class.Possible = class.Targets
 	return class
 }
 
--- a/owner/group_test.go
+++ b/owner/group_test.go
@@ -145,3 +145,122 @@
 		assert.Equal(t, kinds(g.Reserve(start, request("e", 0))), "grant:e ")
 	}
 }
+
+// settle teaches the model of a group that a request of 100+100 tokens takes 2 s,
+// so that it refuses early.
+func settle(t *testing.T, g *Group) {
+	t.Helper()
+	for i := range 40 {
+		id := fmt.Sprintf("settle%d", i)
+		assert.Equal(t, kinds(g.Reserve(start, request(id, 0))), "grant:"+id+" ")
+		g.Release(start.Add(2*time.Second), done(id))
+	}
+}
+
+// Guards against a request that waits although it cannot end in time, and
+// against a refusal without advice when to come back.
+func TestEarlyRefusalTellsWhenToRetry(t *testing.T) {
+	g := oneTarget(1)
+	settle(t, g)
+	for i := range 12 {
+		g.Reserve(start, request(fmt.Sprint(i), 0))
+	}
+	late := request("late", 0)
+	late.Deadline = start.Add(8 * time.Second)
+	decisions := g.Reserve(start, late)
+	assert.Equal(t, kinds(decisions), "refuse:late:capacity ")
+	assert.Assert(t, decisions[0].RetryAfter >= minRetryAfter && decisions[0].RetryAfter <= maxRetryAfter)
+	relaxed := request("relaxed", 0)
+	assert.Equal(t, kinds(g.Reserve(start, relaxed)), "queued:relaxed ")
+}
+
+// Guards against shedding while lower-tier work runs (R2), and against
+// preemption before other groups were asked.
+func TestLateRequestPreemptsOnlyWhenPermitted(t *testing.T) {
+	g := oneTarget(1)
+	settle(t, g)
+	g.Reserve(start, request("low1", 2))
+	g.Reserve(start, request("low2", 2))
+	high := request("high", 0)
+	high.Deadline = start.Add(3 * time.Second)
+	assert.Equal(t, kinds(g.Reserve(start, high)), "refuse:high:preemption-needed ")
+	high.MayPreempt = true
+	assert.Equal(t, kinds(g.Reserve(start, high)), "preempt:low2 queued:high ")
+}
+
+// Guards against a full queue of low-tier requests that keeps higher tiers out,
+// and against a queue without bound.
+func TestFullQueueEvictsTheLowestTier(t *testing.T) {
+	g := NewGroup("assistant", 0, Options{MaxWaiting: 2})
+	g.SetTargets(start, []TargetInfo{{Name: "t0", Slots: 1}})
+	for _, id := range []string{"a", "b", "c", "d"} {
+		r := request(id, 1)
+		r.Preemptible = false
+		g.Reserve(start, r)
+	}
+	assert.Equal(t, kinds(g.Reserve(start, request("low", 2))), "refuse:low:capacity ")
+	assert.Equal(t, kinds(g.Reserve(start, request("high", 0))), "refuse:d:capacity queued:high ")
+	assert.Equal(t, g.queue.Len(), 2)
+}
+
+// Guards against a request that can never run and waits until its deadline.
+func TestRequestsThatCannotRunAreRefusedAtOnce(t *testing.T) {
+	g := oneTarget(1)
+	large := request("large", 0)
+	large.PromptTokens = 200_000
+	assert.Equal(t, kinds(g.Reserve(start, large)), "refuse:large:too-large ")
+	excluded := request("excluded", 0)
+	excluded.Exclude = []string{"t0"}
+	assert.Equal(t, kinds(g.Reserve(start, excluded)), "refuse:excluded:no-target ")
+	past := request("past", 0)
+	past.Deadline = start
+	assert.Equal(t, kinds(g.Reserve(start, past)), "refuse:past:deadline ")
+}
+
+// Guards against a large request that smaller ones of its tier pass for ever
+// while the KV cache never empties.
+func TestLargeRequestIsNotPassedForEver(t *testing.T) {
+	g := NewGroup("assistant", 0, Options{})
+	g.SetTargets(start, []TargetInfo{{Name: "t0", Slots: 8, KVTokens: 1000}})
+	small := func(id string) Request {
+		r := request(id, 0)
+		r.PromptTokens, r.OutputTokens, r.Account = 200, 50, "small"
+		return r
+	}
+	for i := range 4 {
+		g.Reserve(start, small(fmt.Sprint(i)))
+	}
+	large := request("large", 0)
+	large.PromptTokens, large.OutputTokens = 700, 100
+	assert.Equal(t, kinds(g.Reserve(start, large)), "queued:large ")
+	oldest := 0
+	for i := 4; i < 300; i++ {
+		g.Reserve(start, small(fmt.Sprint(i)))
+		if g.jobs["large"].target != nil {
+			return
+		}
+		g.Release(start, done(fmt.Sprint(oldest)))
+		oldest++
+	}
+	t.Fatal("300 small requests passed the large one")
+}
+
+// Guards against grants that a lost reply makes unusable: the entry asks again
+// and gets the same answer, not a second slot.
+func TestRepeatedReserveRepeatsTheAnswer(t *testing.T) {
+	g := oneTarget(1)
+	assert.Equal(t, kinds(g.Reserve(start, request("a", 0))), "grant:a ")
+	assert.Equal(t, kinds(g.Reserve(start, request("a", 0))), "grant:a ")
+	assert.Equal(t, len(g.InFlight("t0")), 1)
+}
+
+// Guards against a full queue that sheds a middle tier for a higher one while a
+// lower tier runs (R2).
+func TestFullQueuePreemptsBeforeItEvicts(t *testing.T) {
+	g := NewGroup("assistant", 0, Options{MaxWaiting: 1})
+	g.SetTargets(start, []TargetInfo{{Name: "t0", Slots: 1}})
+	g.Reserve(start, request("low1", 2))
+	g.Reserve(start, request("low2", 2))
+	g.Reserve(start, request("mid", 1))
+	assert.Equal(t, kinds(g.Reserve(start, request("high", 0))), "preempt:low2 queued:high ")
+}
--- a/owner/job.go
+++ b/owner/job.go
@@ -30,6 +30,8 @@
 	preempting bool
 	// lastPreempt is the time at which work was last preempted for this job.
 	lastPreempt time.Time
+	// wait is the wait that was predicted on arrival, without correction.
+	wait time.Duration
 	// aside marks a job that a dispatch round passed over for now.
 	aside bool
 	// passed counts how often others went before this job because it did not fit.
--- a/owner/predict.go
+++ b/owner/predict.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/admission"
 	"github.com/marjoramflow/marjoramflow/estimate"
 )
 
@@ -67,6 +68,77 @@
 	})
 }
 
+// optimism is the part of a prediction that a request hardly undercuts.
+const optimism = 0.8
+
+// feasible returns the targets on which a request that starts now ends by its
+// deadline: almost certainly, or at best if hopeful is set.
+func (g *Group) feasible(now time.Time, j *job, class admission.Class, hopeful bool) uint64 {
+	mask := uint64(0)
+	left := j.request.Deadline.Sub(now)
+	for _, t := range g.targets {
+		if t.bit&class.Targets != 0 && g.neededOn(j, t, hopeful) <= left {
+			mask |= t.bit
+		}
+	}
+	return mask
+}
+
+// neededOn returns the time that a request needs on a target with a full batch.
+func (g *Group) neededOn(j *job, t *target, hopeful bool) time.Duration {
+	version, hardware := j.request.Version, t.info.Hardware
+	if !g.options.Model.Settled(version, hardware) {
+		return 0
+	}
+	factor := g.options.Model.Spread(version, hardware)
+	if hopeful {
+		factor = optimism
+	}
+	return time.Duration(float64(g.fullBatch(&j.request, t).Finish) * factor)
+}
+
+// fastest returns the time that a request needs on the fastest target of a mask.
+func (g *Group) fastest(j *job, mask uint64) time.Duration {
+	need := time.Duration(-1)
+	for _, t := range g.targets {
+		if t.bit&mask == 0 {
+			continue
+		}
+		if d := g.neededOn(j, t, false); need < 0 || d < need {
+			need = d
+		}
+	}
+	return max(need, 0)
+}
+
+// chance says how likely a waiting request that starts now ends in time.
+type chance int
+
+const (
+	likely   chance = iota // almost certainly, on some target
+	possible               // at best
+	hopeless               // not even then
+)
+
+// narrow returns the class of a request that starts now at the earliest. Targets
+// on which it ends late even at best are left out, and those on which it might
+// end late are only possible ones.
+func (g *Group) narrow(now time.Time, j *job) (admission.Class, chance) {
+	class := g.classOf(&j.request)
+	up := g.upMask()
+	hopeful := g.feasible(now, j, class, true)
+	if hopeful&up == 0 {
+		return class, hopeless
+	}
+	sure := g.feasible(now, j, class, false)
+	class.Targets, class.Possible = sure, hopeful
+	if sure&up == 0 {
+		class.Targets = hopeful
+		return class, possible
+	}
+	return class, likely
+}
+
 // anyHolds reports whether the prompt fits into the KV cache of some target.
 func (g *Group) anyHolds(r *Request, usable uint64) bool {
 	for _, t := range g.targets {
@@ -124,8 +196,29 @@
 	return true
 }
 
-// predictWait returns the time until a new request gets a target.
-func (g *Group) predictWait(j *job, usable uint64) time.Duration {
+// predictWait returns the time until a new request gets a target. The corrected
+// value takes into account how far earlier predictions for the tier were off.
+func (g *Group) predictWait(j *job, usable uint64) (plain, corrected time.Duration) {
+	plain = g.queueWait(j, usable)
+	return plain, time.Duration(float64(plain) * g.waitRatio(j).Value())
+}
+
+// observeWait compares the wait of a request that was granted or refused with
+// the prediction. Waits of less than minWaitSample say little about the queue.
+func (g *Group) observeWait(now time.Time, j *job) {
+	const minWaitSample = 100 * time.Millisecond
+	if j.wait >= minWaitSample {
+		g.waitRatio(j).Observe(j.wait.Seconds(), now.Sub(j.item.Arrived).Seconds())
+		j.wait = 0
+	}
+}
+
+func (g *Group) waitRatio(j *job) *estimate.Ratio {
+	return &g.waits[j.request.Tier][admission.WorkBucket(j.item.Work)]
+}
+
+// queueWait predicts a wait from the work ahead and the speed of the targets.
+func (g *Group) queueWait(j *job, usable uint64) time.Duration {
 	ahead := g.queue.Ahead(j.request.Tier, j.request.Account, j.item.Class, j.item.Work)
 	if free, _ := g.places(); ahead == 0 && free&usable != 0 {
 		return 0
@@ -147,8 +240,13 @@
 	return time.Duration(float64(work) / rate)
 }
 
-// observe corrects the estimates with what a finished request showed.
-func (g *Group) observe(j *job, report Report) {
+// observe corrects the estimates with what a request showed.
+func (g *Group) observe(now time.Time, j *job, report Report) {
+	hardware := j.target.info.Hardware
+	predicted, actual := j.finish.Sub(j.granted), now.Sub(j.granted)
+	if report.Outcome == OutcomeDone || (stopped(report.Outcome) && actual > predicted) {
+		g.options.Model.ObserveSpread(j.request.Version, hardware, predicted, actual)
+	}
 	if report.Outcome != OutcomeDone || report.Duration <= 0 {
 		return
 	}
@@ -159,7 +257,7 @@
 	g.options.Model.Observe(estimate.Observation{
 		Job: estimate.Job{
 			Version:       version,
-			Hardware:      j.target.info.Hardware,
+			Hardware:      hardware,
 			PrefillTokens: max(report.PromptTokens-report.CachedTokens, 0),
 			OutputTokens:  report.OutputTokens,
 			Batch:         min((j.batch+len(j.target.running)+1)/2, max(j.target.info.Slots, 1)),
@@ -171,3 +269,9 @@
 		Duration:   report.Duration,
 	})
 }
+
+// stopped reports whether a request was ended before its answer was complete,
+// while its target worked.
+func stopped(o Outcome) bool {
+	return o == OutcomeCanceled || o == OutcomeTimeout
+}
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/marjoramflow/marjoramflow/admission"
 )
 
 // victimTimeout is the time that the entry of a victim gets to stop it before
@@ -97,21 +95,21 @@
 	return g.preempting == 0
 }
 
-// rescue returns the request for which work was preempted, if it may go before
-// item: it has the same tier and can use a free target. The freed place is extra
-// room, so the others of its tier lose nothing.
-func (g *Group) rescue(item *admission.Item[*job], free, exclusive uint64) *job {
+// rescue returns the first request of a tier for which work was preempted and
+// the free targets that it can use, or nil. The freed place is extra room, so the
+// others of its tier lose nothing.
+func (g *Group) rescue(tier int, free, exclusive uint64) (*job, uint64) {
 	g.rescued = slices.DeleteFunc(g.rescued, func(j *job) bool { return !j.item.Waiting() && !j.aside })
 	for _, j := range g.rescued {
-		usable := j.item.Class.Targets & free
+		usable := j.item.Class.Possible & free
 		if j.request.Suspect {
 			usable &= exclusive
 		}
-		if usable != 0 && j.item.Tier == item.Tier && !j.aside {
-			return j
+		if usable != 0 && j.item.Tier == tier && !j.aside {
+			return j, usable
 		}
 	}
-	return item.Value
+	return nil, 0
 }
 
 func (g *Group) preempt(victim *job) {
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -65,7 +65,8 @@
 
 func (g *Group) enqueue(now time.Time, j *job) {
 	g.register(j)
-	j.item.Timer = g.firstTimer(now, j)
+	j.item.Class, _ = g.narrow(now, j)
+	j.item.Timer = g.nextTimer(now, j)
 	g.queue.Add(&j.item)
 }
 
@@ -77,7 +78,7 @@
 	j.request.PromptTokens += report.OutputTokens
 	j.request.OutputTokens = max(j.request.OutputTokens-report.OutputTokens, 1)
 	j.request.Target = ""
-	j.item.Class = g.classOf(&j.request)
+	j.item.Class, _ = g.narrow(now, j)
 	j.item.Paid = true
 	j.item.Work = g.workOf(&j.request, j.item.Class.Targets)
 	if j.item.Class.Targets&g.upMask() == 0 {
@@ -88,7 +89,7 @@
 		g.refuse(j, ReasonDeadline, 0)
 		return
 	}
-	j.item.Timer = g.firstTimer(now, j)
+	j.item.Timer = g.nextTimer(now, j)
 	g.queue.Add(&j.item)
 	g.decide(Queued, j, Decision{})
 }
@@ -108,23 +109,36 @@
 	if g.tooLateWhenIdle(now, j, usable) {
 		return ReasonDeadline, 0
 	}
-	wait := g.predictWait(j, usable)
-	late := now.Add(wait + j.item.Work).Sub(j.request.Deadline)
+	plain, wait := g.predictWait(j, usable)
+	j.wait = plain
+	late := g.lateness(now, j, usable, wait)
 	full := g.queue.Len() >= g.options.MaxWaiting && wait > 0
 	if (late <= 0 || wait == 0 || !g.settled(j)) && !full {
 		return ReasonNone, 0
 	}
-	if full && g.evictBelow(j.request.Tier) {
+	if full && g.evictBelow(now, j.request.Tier) {
 		return ReasonNone, 0
 	}
 	return g.makeRoom(now, j, usable, late)
 }
 
+// headroom is the part of a request's spare time that it may be predicted to
+// wait. The rest absorbs errors of the prediction; without it, an overloaded
+// queue would dispatch every request at the last moment, and many end late.
+const headroom = 0.6
+
+// lateness returns by how much the predicted wait exceeds what a request can
+// afford on the fastest of its targets.
+func (g *Group) lateness(now time.Time, j *job, usable uint64, wait time.Duration) time.Duration {
+	spare := j.request.Deadline.Sub(now) - g.fastest(j, usable)
+	return wait - time.Duration(headroom*float64(max(spare, 0)))
+}
+
 // makeRoom decides about a request that would be late or finds the queue full:
 // it is admitted when lower-tier work can be preempted for it, else shed.
 func (g *Group) makeRoom(now time.Time, j *job, usable uint64, late time.Duration) (Reason, time.Duration) {
 	if !g.hasVictims(j, usable) {
-		return ReasonCapacity, max(minRetryAfter, min(late, maxRetryAfter))
+		return ReasonCapacity, retryAfter(late)
 	}
 	if !j.request.MayPreempt {
 		return ReasonPreemptionNeeded, 0
@@ -133,42 +147,27 @@
 	return ReasonNone, 0
 }
 
+// retryAfter is the advice to a caller whose request would have to wait too long
+// by some time.
+func retryAfter(tooLong time.Duration) time.Duration {
+	return max(minRetryAfter, min(tooLong, maxRetryAfter))
+}
+
 // evictBelow refuses the newest waiting request of the lowest tier, if that is
-// lower than tier.
-func (g *Group) evictBelow(tier int) bool {
+// lower than tier. When work of a still lower tier runs that can be preempted for
+// it, that is done instead, and the queue exceeds its limit by one.
+func (g *Group) evictBelow(now time.Time, tier int) bool {
 	lowest := g.queue.LowestTier()
 	if lowest <= tier {
 		return false
 	}
-	g.refuse(g.queue.Newest(lowest).Value, ReasonCapacity, maxRetryAfter)
-	return true
-}
-
-// firstTimer is the time at which a waiting request may preempt: after the
-// longest tolerated wait, or shortly before it would be late.
-func (g *Group) firstTimer(now time.Time, j *job) time.Time {
-	at := now.Add(g.options.PreemptAfter)
-	if urgent := g.urgentAt(j); urgent.Before(at) {
-		at = urgent
-	}
-	if j.request.Deadline.Before(at) {
-		at = j.request.Deadline
-	}
-	return at
-}
-
-// urgentAt is the time from which a waiting request would be late.
-func (g *Group) urgentAt(j *job) time.Time {
-	return j.request.Deadline.Add(-j.item.Work*11/10 - urgentMargin)
-}
-
-// lastStart is the time from which a waiting request can hardly end in time, so
-// that its prefill would be wasted.
-func (g *Group) lastStart(j *job) time.Time {
-	if !g.settled(j) {
-		return j.request.Deadline
+	newest := g.queue.Newest(lowest).Value
+	if g.hasVictims(newest, newest.item.Class.Possible&g.upMask()) {
+		g.preemptFor(now, newest)
+		return true
 	}
-	return j.request.Deadline.Add(-j.item.Work * 8 / 10)
+	g.refuse(newest, ReasonCapacity, maxRetryAfter)
+	return true
 }
 
 // handleTimers refuses what cannot end in time any more and preempts for what is
@@ -180,34 +179,62 @@
 }
 
 func (g *Group) handleTimer(now time.Time, j *job) {
-	if !now.Before(j.request.Deadline) {
-		g.refuse(j, ReasonExpired, minRetryAfter)
+	class, chance := g.narrow(now, j)
+	usable := class.Targets & g.upMask()
+	victims := chance != hopeless && g.hasVictims(j, usable)
+	if !now.Before(j.request.Deadline) || (!victims && g.givesUp(j, chance)) {
+		g.observeWait(now, j)
+		g.refuse(j, ReasonExpired, retryAfter(g.queueWait(j, usable)))
 		return
 	}
-	last := g.lastStart(j)
-	usable := j.item.Class.Targets & g.upMask()
+	g.queue.SetClass(&j.item, class)
 	urgent := !now.Before(g.urgentAt(j))
-	victims := g.hasVictims(j, usable)
-	if victims && g.mayPreemptNow(now, j, urgent) {
+	patient := now.Sub(j.item.Arrived) < g.options.PreemptAfter
+	if victims && (urgent || !patient) && g.mayPreemptNow(now, j, urgent) {
 		g.preemptFor(now, j)
-	} else if !victims && !now.Before(last) {
-		g.refuse(j, ReasonExpired, minRetryAfter)
-		return
 	}
-	g.queue.SetTimer(&j.item, g.nextTimer(now, j, usable, last))
+	g.queue.SetTimer(&j.item, g.nextTimer(now, j))
 }
 
-// nextTimer is the next time to look at a waiting request. While no lower tier
-// runs on its targets, that is the time when it becomes urgent and then the time
-// when it is too late: no lower tier is dispatched to these targets before it.
-func (g *Group) nextTimer(now time.Time, j *job, usable uint64, last time.Time) time.Time {
-	if g.lowerRuns(j, usable) || !now.Before(last) {
-		return earlier(now.Add(preemptRetry), j.request.Deadline)
+// givesUp reports whether starting a request now would probably waste its
+// prefill. A request that might still end in time tries it, unless others of its
+// tier or a higher one wait.
+func (g *Group) givesUp(j *job, c chance) bool {
+	return c == hopeless || (c == possible && g.queue.CountUpTo(j.request.Tier) > 1)
+}
+
+// nextTimer is the next time to look at a waiting request: when it may preempt,
+// when it becomes urgent, when it can no longer end in time on one of the
+// targets of its class, or its deadline.
+func (g *Group) nextTimer(now time.Time, j *job) time.Time {
+	next := j.request.Deadline
+	consider := func(at time.Time) {
+		if at.After(now) && at.Before(next) {
+			next = at
+		}
+	}
+	if patience := j.item.Arrived.Add(g.options.PreemptAfter); patience.After(now) {
+		consider(patience)
+	} else if g.lowerRuns(j, j.item.Class.Targets&g.upMask()) {
+		consider(now.Add(preemptRetry))
+	}
+	consider(g.urgentAt(j))
+	if urgent := g.urgentAt(j); !urgent.After(now) && g.lowerRuns(j, j.item.Class.Targets&g.upMask()) {
+		consider(now.Add(preemptRetry))
 	}
-	if urgent := g.urgentAt(j); now.Before(urgent) {
-		return urgent
+	for _, t := range g.targets {
+		if t.bit&j.item.Class.Possible != 0 {
+			consider(j.request.Deadline.Add(time.Nanosecond - g.neededOn(j, t, false)))
+			consider(j.request.Deadline.Add(time.Nanosecond - g.neededOn(j, t, true)))
+		}
 	}
-	return last
+	return next
+}
+
+// urgentAt is the time from which a waiting request would be late on the fastest
+// of its targets, less the time in which a victim is stopped.
+func (g *Group) urgentAt(j *job) time.Time {
+	return j.request.Deadline.Add(-g.fastest(j, j.item.Class.Targets&g.upMask()) - urgentMargin)
 }
 
 // rearm makes all waiting requests look for victims again, after a change that
--- /dev/null
+++ b/prefix/prefix_test.go
@@ -0,0 +1,96 @@
+package prefix
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against blocks that match although an earlier part of the prompt
+// differs, and against hashes that depend on what follows.
+func TestBlocksCoverThePromptUpToTheirEnd(t *testing.T) {
+	a := Blocks(strings.Repeat("a", 3*BlockBytes))
+	longer := Blocks(strings.Repeat("a", 3*BlockBytes) + strings.Repeat("b", BlockBytes+5))
+	other := Blocks("x" + strings.Repeat("a", 3*BlockBytes))
+	assert.Equal(t, len(a), 3)
+	assert.Equal(t, len(longer), 4)
+	assert.DeepEqual(t, longer[:3], a)
+	for i := range a {
+		assert.Assert(t, a[i] != other[i])
+	}
+	assert.Assert(t, a[0] != a[1])
+	assert.Equal(t, len(Blocks(strings.Repeat("a", 2*MaxBlocks*BlockBytes))), MaxBlocks)
+	assert.Equal(t, len(Blocks("short")), 0)
+}
+
+// Guards against reuse that is expected although the engine dropped the blocks.
+func TestEventsOverruleDispatches(t *testing.T) {
+	x := NewIndex(100)
+	blocks := []uint64{1, 2, 3}
+	x.Dispatched(start, blocks)
+	assert.Equal(t, x.Match(start, blocks), 3*BlockTokens)
+	x.Event(start, Event{Sequence: 1, Kind: Evicted, Blocks: []uint64{2}})
+	assert.Equal(t, x.Match(start, blocks), BlockTokens)
+	x.Event(start, Event{Sequence: 2, Kind: Stored, Blocks: []uint64{2}})
+	assert.Equal(t, x.Match(start, blocks), 3*BlockTokens)
+	x.Event(start, Event{Sequence: 3, Kind: Cleared})
+	assert.Equal(t, x.Match(start, blocks), 0)
+}
+
+// Guards against full trust in old knowledge after lost events, and against
+// trust that never returns.
+func TestTrustFallsAfterAGapAndWithTime(t *testing.T) {
+	x := NewIndex(100)
+	blocks := []uint64{1}
+	x.Event(start, Event{Sequence: 5, Kind: Stored, Blocks: blocks})
+	x.Event(start, Event{Sequence: 6, Kind: Stored, Blocks: []uint64{9}})
+	assert.Equal(t, x.Match(start, blocks), BlockTokens)
+	x.Event(start, Event{Sequence: 8, Kind: Stored, Blocks: []uint64{10}})
+	assert.Equal(t, x.Gaps(), 1)
+	assert.Equal(t, x.Match(start, blocks), BlockTokens/2)
+	assert.Equal(t, x.Match(start.Add(eventHalfLife), blocks), BlockTokens/4)
+	x.Event(start, Event{Sequence: 9, Kind: Stored, Blocks: blocks})
+	assert.Equal(t, x.Match(start, blocks), BlockTokens)
+	assert.Equal(t, x.Match(start.Add(10*eventHalfLife), blocks), 0)
+}
+
+// Guards against late or repeated events that undo newer ones.
+func TestOldEventsAreIgnored(t *testing.T) {
+	x := NewIndex(100)
+	x.Event(start, Event{Sequence: 2, Kind: Stored, Blocks: []uint64{1}})
+	x.Event(start, Event{Sequence: 1, Kind: Evicted, Blocks: []uint64{1}})
+	x.Event(start, Event{Sequence: 2, Kind: Evicted, Blocks: []uint64{1}})
+	assert.Equal(t, x.Match(start, []uint64{1}), BlockTokens)
+	assert.Equal(t, x.Gaps(), 0)
+}
+
+// Guards against memory that grows without limit and against a damaged list:
+// after any calls the index holds at most its capacity, and the newest blocks.
+func TestIndexIsBoundedAndKeepsTheNewest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 20).Draw(t, "capacity")
+		x := NewIndex(capacity)
+		blocks := rapid.SliceOfN(rapid.Uint64Range(0, 40), 1, 4)
+		for i := range rapid.IntRange(1, 60).Draw(t, "calls") {
+			drawn := blocks.Draw(t, "blocks")
+			if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+				x.Event(start, Event{Sequence: uint64(i + 1), Kind: Evicted, Blocks: drawn})
+				assert.Equal(t, x.Match(start, drawn), 0)
+			} else {
+				x.Dispatched(start, drawn)
+				assert.Assert(t, x.Match(start, drawn[:1]) > 0)
+			}
+			assert.Assert(t, x.Len() <= capacity)
+			listed := 0
+			for at := x.newest; at != none; at = x.entries[at].older {
+				listed++
+			}
+			assert.Equal(t, listed, x.Len())
+		}
+	})
+}
