Ask for grants that let an answer end when it is due

Change: before its first attempt a request is due after the time to first token plus 40 ms per expected token; the owner refuses what cannot end by then. After a preemption it is followed to its deadline. Output lengths are learned as a part of the caller's bound.

--- a/bench/e2e/main_test.go
+++ b/bench/e2e/main_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,6 +50,9 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		c.Close()
+		for _, d := range c.Daemons {
+			assert.Check(t, !strings.Contains(d.Log(), "DATA RACE"), "daemon %s", d.Name)
+		}
 		if t.Failed() {
 			for _, d := range c.Daemons {
 				t.Logf("log of %s:\n%s", d.Name, d.Log())
--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -37,10 +37,10 @@
 	return l.model.OutputTokens(service, account, maxTokens)
 }
 
-func (l *lengths) Finished(account, service string, tokens int) {
+func (l *lengths) Finished(account, service string, maxTokens, tokens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.model.ObserveOutput(service, account, tokens)
+	l.model.ObserveOutput(service, account, maxTokens, tokens)
 }
 
 // retries holds one retry policy per service. It implements entry.Retries.
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -80,7 +80,7 @@
 		report, runErr := c.run(ctx, grant)
 		if errors.Is(runErr, errPreempted) {
 			c.attempts++
-			grant, err = c.entry.Grants.Requeue(ctx, grant, report)
+			grant, err = c.regrant(ctx, grant, report)
 			continue
 		}
 		c.entry.Grants.Release(grant, report)
@@ -97,6 +97,17 @@
 	return c.afterReserve(err)
 }
 
+// regrant waits for a target after a preemption. The owner may give up a request
+// that can no longer end when it was first due; an accepted request is then
+// reserved anew until its deadline.
+func (c *chat) regrant(ctx context.Context, grant *Grant, report Report) (*Grant, error) {
+	next, err := c.entry.Grants.Requeue(ctx, grant, report)
+	if err == nil || ctx.Err() != nil {
+		return next, err
+	}
+	return c.entry.Grants.Reserve(ctx, c.need())
+}
+
 // firstGrant waits for a target until the first token is due. A request that
 // waits longer would only use up prefill for an answer that comes too late; once
 // it has run, it is followed to its deadline.
@@ -107,6 +118,22 @@
 	return c.entry.Grants.Reserve(ctx, c.need())
 }
 
+// due is the time by which the answer has to end. Before the first attempt it
+// leaves the time to the first token and a bounded time for each further one,
+// so that no prefill is spent on an answer that comes too late.
+func (c *chat) due() time.Time {
+	r := c.request
+	if c.attempts > 0 {
+		return r.Deadline
+	}
+	allowed := r.Caller.Tier.FirstToken + time.Duration(r.OutputTokens)*tokenAllowance
+	due := r.Arrived.Add(allowed)
+	if due.After(r.Deadline) {
+		return r.Deadline
+	}
+	return due
+}
+
 func (c *chat) need() Need {
 	r := c.request
 	return Need{
@@ -117,7 +144,7 @@
 		Tier:         r.Caller.Tier.Rank,
 		PromptTokens: r.PromptTokens + c.next,
 		OutputTokens: max(1, r.OutputTokens-c.next),
-		Deadline:     r.Deadline,
+		Deadline:     c.due(),
 		Preemptible:  true,
 		Suspect:      c.suspect,
 		Fingerprint:  r.Fingerprint,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,9 @@
 	// of an attempt by the expected time.
 	firstTimeoutFactor = 4
 	minFirstTimeout    = 5 * time.Second
+	// tokenAllowance is the time for each token after the first in which an answer
+	// is due: 28 ms between tokens, with room for the slower hardware generation.
+	tokenAllowance = 40 * time.Millisecond
 	// gapTimeout bounds the wait between tokens: 20 gaps of 28 ms are less than
 	// 2 s, and engines pause longer than that while they process long prompts.
 	gapTimeout = 2 * time.Second
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -53,6 +53,8 @@
 	MaxTokens           int  `json:"max_tokens"`
 	MaxCompletionTokens int  `json:"max_completion_tokens"`
 	Stream              bool `json:"stream"`
+	// maxTokens is the bound in force, by the caller or by default.
+	maxTokens int
 }
 
 // chat runs a call of a model service.
@@ -68,7 +70,7 @@
 	err = c.server.Runner.Chat(c.echo.Request().Context(), request, answer)
 	c.record(request.Service.Name, err, answer.first, answer.tokens)
 	if err == nil {
-		c.server.Lengths.Finished(c.caller.Account.Name, request.Service.Name, answer.tokens)
+		c.server.Lengths.Finished(c.caller.Account.Name, request.Service.Name, typed.maxTokens, answer.tokens)
 	}
 	return answer.end(err)
 }
@@ -90,6 +92,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	typed.maxTokens = maxTokens
 	match, err := c.modelService(matches, typed.Model)
 	if err != nil {
 		return nil, nil, err
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -42,8 +42,9 @@
 type Lengths interface {
 	// Output returns the expected number of tokens for at most maxTokens.
 	Output(account, service string, maxTokens int) int
-	// Finished corrects the prediction with an observed length.
-	Finished(account, service string, tokens int)
+	// Finished corrects the prediction with the observed length of an answer that
+	// was bounded by maxTokens.
+	Finished(account, service string, maxTokens, tokens int)
 }
 
 // Recorder takes the measures of finished requests.
