--- /dev/null
+++ b/quarantine/bench_test.go
@@ -0,0 +1,22 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+)
+
+func BenchmarkCheck(b *testing.B) {
+	for _, n := range []int{18, 7800} {
+		b.Run(fmt.Sprint("convicted=", n), func(b *testing.B) {
+			book := New(Options{})
+			for i := range n {
+				book.Merge(at(0), Notice{Fingerprint: uint64(i), State: Convicted, Targets: []string{"a", "b"}})
+			}
+			fp := uint64(0)
+			for b.Loop() {
+				book.Check(fp)
+				fp++
+			}
+		})
+	}
+}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -3,11 +3,14 @@
 import (
 	"container/list"
 	"slices"
+	"sync"
 	"time"
 )
 
-// Book holds the suspects and convicted requests that one daemon knows.
+// Book holds the suspects and convicted requests that one daemon knows. It is
+// safe for concurrent use.
 type Book struct {
+	mu      sync.RWMutex
 	options Options
 	records map[uint64]*list.Element
 	// lists hold the records of each class, oldest first.
@@ -28,6 +31,12 @@
 
 // Check returns the state of a fingerprint as of the last call that took a time.
 func (b *Book) Check(fingerprint uint64) State {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.state(fingerprint)
+}
+
+func (b *Book) state(fingerprint uint64) State {
 	e, ok := b.records[fingerprint]
 	if !ok {
 		return Clear
@@ -37,13 +46,17 @@
 
 // Len returns the number of fingerprints in the book.
 func (b *Book) Len() int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
 	return len(b.records)
 }
 
 // TargetLost records that a target was lost while the given fingerprints were
 // in flight on it, and returns the notices for the other daemons.
 func (b *Book) TargetLost(now time.Time, target string, inFlight []uint64) []Notice {
-	out := b.Tick(now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := b.tick(now)
 	l := b.lossOf(now, target)
 	fresh := b.addMembers(l, inFlight)
 	if l.explained {
@@ -55,6 +68,8 @@
 
 // Finished records that a request ran to its end, which clears a suspect.
 func (b *Book) Finished(now time.Time, fingerprint uint64) []Notice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	r := b.find(fingerprint)
 	if r == nil || (r.state != Suspect && r.state != Held) {
 		return nil
@@ -65,6 +80,12 @@
 // Tick decides held fingerprints and drops expired ones. It is called at least
 // every 250 ms, so that a conviction reaches all daemons within 2 s.
 func (b *Book) Tick(now time.Time) []Notice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tick(now)
+}
+
+func (b *Book) tick(now time.Time) []Notice {
 	b.expire(now)
 	var due []*record
 	for _, r := range b.held {
@@ -96,7 +117,7 @@
 		}
 		l.members = append(l.members, fp)
 		fresh = append(fresh, fp)
-		if b.Check(fp) == Convicted {
+		if b.state(fp) == Convicted {
 			l.explained = true
 		}
 	}
@@ -107,7 +128,7 @@
 func (b *Book) accuse(now time.Time, l *loss, fresh []uint64) []Notice {
 	var others []uint64
 	for _, fp := range fresh {
-		if s := b.Check(fp); s == Suspect || s == Held {
+		if s := b.state(fp); s == Suspect || s == Held {
 			l.prior = append(l.prior, fp)
 		} else {
 			others = append(others, fp)
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -25,5 +25,5 @@
 // Requests are known by a fingerprint, the hash of the request body. Callers in
 // different daemons exchange notices and merge them.
 //
-// The package is pure. A Book is not safe for concurrent use.
+// The package is pure. A Book is safe for concurrent use.
 package quarantine
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -9,6 +9,8 @@
 // conviction outweighs every suspicion. A suspicion is dropped when its targets
 // were cleared before, so that notices may arrive in any order.
 func (b *Book) Merge(now time.Time, n Notice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.expire(now)
 	r := b.need(now, n.Fingerprint)
 	if r.state == Convicted && n.State != Clear {
@@ -81,6 +83,8 @@
 // is known to be another one, such as a VM that failed or was stopped by hand.
 // A conviction that rests on that loss ends.
 func (b *Book) Exonerate(now time.Time, target string) []Notice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.expire(now)
 	var out []Notice
 	for _, list := range b.lists {
