--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,300 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/platform"
+)
+
+// Default limits of one daemon.
+const (
+	defaultReads       = 20
+	defaultWrites      = 10
+	defaultTimeout     = 2 * time.Second
+	defaultStartJitter = 500 * time.Millisecond
+	// burstSeconds is the time for which an unused budget is kept.
+	burstSeconds = 2
+)
+
+var (
+	// ErrBudget is returned when the budget would not allow the call within the
+	// timeout, or before its context ends. It wraps platform.ErrUnavailable.
+	ErrBudget = fmt.Errorf("the daemon's budget of store calls is used up: %w", platform.ErrUnavailable)
+	// ErrBreakerOpen is returned while the service does not answer. It wraps
+	// platform.ErrUnavailable.
+	ErrBreakerOpen = fmt.Errorf("the service did not answer lately: %w", platform.ErrUnavailable)
+	// ErrNoAnswer is returned for a read without an answer within the timeout. It
+	// wraps platform.ErrUnavailable.
+	ErrNoAnswer = fmt.Errorf("no answer within the timeout: %w", platform.ErrUnavailable)
+)
+
+// Limits bound the calls of one daemon. Zero values take defaults.
+type Limits struct {
+	// ReadsPerSecond and WritesPerSecond are for both services together. A
+	// transaction counts as one write.
+	ReadsPerSecond, WritesPerSecond float64
+	// Timeout bounds one call, without the wait for the budget.
+	Timeout time.Duration
+	// StartJitter is the longest delay of the first calls.
+	StartJitter time.Duration
+}
+
+// Config configures a Client.
+type Config struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Limits  Limits
+	Logger  *eventlog.Logger
+}
+
+// Stats are totals since the client was created.
+type Stats struct {
+	// Reads and Writes are calls that were sent.
+	Reads, Writes uint64
+	// Failures are calls without a usable answer, Timeouts those among them that
+	// exceeded the timeout.
+	Failures, Timeouts uint64
+	// RefusedBudget and RefusedBreaker are calls that were not sent.
+	RefusedBudget, RefusedBreaker uint64
+	// Unknown are writes whose answer was lost. ResolvedApplied and
+	// ResolvedRepeated tell how CommitToken went on.
+	Unknown, ResolvedApplied, ResolvedRepeated uint64
+	// BreakerOpened counts how often a breaker opened.
+	BreakerOpened uint64
+}
+
+type counters struct {
+	reads, writes, failures, timeouts          atomic.Uint64
+	refusedBudget, refusedBreaker              atomic.Uint64
+	unknown, resolvedApplied, resolvedRepeated atomic.Uint64
+}
+
+// Client implements platform.Table; Objects returns the other view. It is safe
+// for concurrent use.
+type Client struct {
+	table   platform.Table
+	objects platform.Objects
+	logger  *eventlog.Logger
+	timeout time.Duration
+	// notBefore is the time of the earliest call.
+	notBefore time.Time
+
+	reads, writes               *rate.Limiter
+	tableBreaker, objectBreaker breaker
+	stats                       counters
+}
+
+// New returns a client.
+func New(config Config) *Client {
+	limits := config.Limits.withDefaults()
+	logger := config.Logger
+	if logger == nil {
+		logger = eventlog.Discard()
+	}
+	return &Client{
+		table:     config.Table,
+		objects:   config.Objects,
+		logger:    logger,
+		timeout:   limits.Timeout,
+		notBefore: time.Now().Add(rand.N(limits.StartJitter)),
+		reads:     limiter(limits.ReadsPerSecond),
+		writes:    limiter(limits.WritesPerSecond),
+	}
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.ReadsPerSecond == 0 {
+		l.ReadsPerSecond = defaultReads
+	}
+	if l.WritesPerSecond == 0 {
+		l.WritesPerSecond = defaultWrites
+	}
+	if l.Timeout == 0 {
+		l.Timeout = defaultTimeout
+	}
+	if l.StartJitter == 0 {
+		l.StartJitter = defaultStartJitter
+	}
+	return l
+}
+
+// limiter returns a budget that starts with one call and not with the whole
+// burst, so that daemons that start together do not spend their bursts together.
+func limiter(perSecond float64) *rate.Limiter {
+	burst := max(1, int(perSecond*burstSeconds))
+	l := rate.NewLimiter(rate.Limit(perSecond), burst)
+	l.AllowN(time.Now(), burst-1)
+	return l
+}
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) (rows []platform.Row, err error) {
+	err = c.read(ctx, &c.tableBreaker, "table.get", func(ctx context.Context) error {
+		rows, err = c.table.Get(ctx, keys...)
+		return err
+	})
+	return rows, err
+}
+
+// List implements platform.Table.
+func (c *Client) List(ctx context.Context, prefix string, limit int) (rows []platform.Row, err error) {
+	err = c.read(ctx, &c.tableBreaker, "table.list", func(ctx context.Context) error {
+		rows, err = c.table.List(ctx, prefix, limit)
+		return err
+	})
+	return rows, err
+}
+
+// Commit implements platform.Table. It makes one attempt.
+func (c *Client) Commit(ctx context.Context, writes ...platform.Write) error {
+	return c.write(ctx, &c.tableBreaker, "table.commit", func(ctx context.Context) error {
+		return c.table.Commit(ctx, writes...)
+	})
+}
+
+// Objects returns the view that implements platform.Objects, with the same
+// budget.
+func (c *Client) Objects() platform.Objects {
+	return objectView{c}
+}
+
+type objectView struct{ client *Client }
+
+// Put implements platform.Objects.
+func (v objectView) Put(ctx context.Context, name string, data []byte) error {
+	c := v.client
+	return c.write(ctx, &c.objectBreaker, "object.put", func(ctx context.Context) error {
+		return c.objects.Put(ctx, name, data)
+	})
+}
+
+// Get implements platform.Objects.
+func (v objectView) Get(ctx context.Context, name string) (data []byte, err error) {
+	c := v.client
+	err = c.read(ctx, &c.objectBreaker, "object.get", func(ctx context.Context) error {
+		data, err = c.objects.Get(ctx, name)
+		return err
+	})
+	return data, err
+}
+
+// Stats returns the totals.
+func (c *Client) Stats() Stats {
+	return Stats{
+		Reads:            c.stats.reads.Load(),
+		Writes:           c.stats.writes.Load(),
+		Failures:         c.stats.failures.Load(),
+		Timeouts:         c.stats.timeouts.Load(),
+		RefusedBudget:    c.stats.refusedBudget.Load(),
+		RefusedBreaker:   c.stats.refusedBreaker.Load(),
+		Unknown:          c.stats.unknown.Load(),
+		ResolvedApplied:  c.stats.resolvedApplied.Load(),
+		ResolvedRepeated: c.stats.resolvedRepeated.Load(),
+		BreakerOpened:    c.tableBreaker.openings() + c.objectBreaker.openings(),
+	}
+}
+
+func (c *Client) read(ctx context.Context, b *breaker, step string, call func(context.Context) error) error {
+	err := c.do(ctx, b, c.reads, &c.stats.reads, step, call)
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, platform.ErrUnknown) {
+		err = fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	return fault.Wrap(err, step, "")
+}
+
+func (c *Client) write(ctx context.Context, b *breaker, step string, call func(context.Context) error) error {
+	err := c.do(ctx, b, c.writes, &c.stats.writes, step, call)
+	if err != nil && !hadNoEffect(err) {
+		c.stats.unknown.Add(1)
+		if !errors.Is(err, platform.ErrUnknown) {
+			err = errors.Join(platform.ErrUnknown, err)
+		}
+	}
+	return fault.Wrap(err, step, "")
+}
+
+// do makes one call within the budget, the breaker and the timeout.
+func (c *Client) do(ctx context.Context, b *breaker, budget *rate.Limiter, sent *atomic.Uint64, step string, call func(context.Context) error) error {
+	if err := c.admit(ctx, b, budget); err != nil {
+		return err
+	}
+	sent.Add(1)
+	limited, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	err := call(limited)
+	switch {
+	case err == nil || isAnswer(err):
+		b.succeeded()
+	case ctx.Err() != nil:
+		// The caller gave up, which tells nothing about the service.
+		b.abandoned()
+	default:
+		c.stats.failures.Add(1)
+		if limited.Err() != nil {
+			c.stats.timeouts.Add(1)
+		}
+		if b.failed(time.Now()) {
+			c.logger.EmitError(eventlog.PlatformUnavailable, fault.Wrap(err, step, ""), nil)
+		}
+	}
+	return err
+}
+
+// admit waits for the start jitter and the budget, and asks the breaker before
+// and after: refused calls are not to use up the budget, and calls that waited
+// are not to be sent to a service that failed meanwhile.
+func (c *Client) admit(ctx context.Context, b *breaker, budget *rate.Limiter) error {
+	if err := c.waitForStart(ctx); err != nil {
+		return err
+	}
+	if b.refuses(time.Now()) {
+		c.stats.refusedBreaker.Add(1)
+		return ErrBreakerOpen
+	}
+	limited, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := budget.Wait(limited); err != nil {
+		c.stats.refusedBudget.Add(1)
+		return fmt.Errorf("%w: %w", ErrBudget, err)
+	}
+	if !b.allow(time.Now()) {
+		c.stats.refusedBreaker.Add(1)
+		return ErrBreakerOpen
+	}
+	return nil
+}
+
+func (c *Client) waitForStart(ctx context.Context) error {
+	wait := time.Until(c.notBefore)
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Join(platform.ErrUnavailable, ctx.Err())
+	}
+}
+
+// isAnswer tells whether an error is an answer of a service that works.
+func isAnswer(err error) bool {
+	var conflict *platform.ConflictError
+	return errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound)
+}
+
+// hadNoEffect tells whether a write that returned err changed nothing.
+func hadNoEffect(err error) bool {
+	return isAnswer(err) || errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown)
+}
--- /dev/null
+++ b/store/client_test.go
@@ -0,0 +1,347 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/platform"
+)
+
+// fakeTable is a table in memory with faults. It counts the calls that reach it
+// by second.
+type fakeTable struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	start   time.Time
+	rows    map[string]platform.Row
+	version uint64
+	// silent calls get no answer until their context ends; refused ones fail at
+	// once.
+	silent, refused       bool
+	latency               time.Duration
+	loseBefore, loseAfter float64
+	perSecond             map[int]int
+	calls                 int
+}
+
+func newFakeTable(seed uint64) *fakeTable {
+	return &fakeTable{
+		random:    rand.New(rand.NewPCG(seed, 6)),
+		start:     time.Now(),
+		rows:      map[string]platform.Row{},
+		latency:   5 * time.Millisecond,
+		perSecond: map[int]int{},
+	}
+}
+
+func (f *fakeTable) enter(ctx context.Context) error {
+	f.mu.Lock()
+	f.calls++
+	f.perSecond[int(time.Since(f.start)/time.Second)]++
+	silent, refused, latency := f.silent, f.refused, f.latency
+	f.mu.Unlock()
+	if refused {
+		return platform.ErrUnavailable
+	}
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(latency):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (f *fakeTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if err := f.enter(ctx); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rows := make([]platform.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = f.rows[key]
+		rows[i].Key = key
+	}
+	return rows, nil
+}
+
+func (f *fakeTable) List(ctx context.Context, _ string, _ int) ([]platform.Row, error) {
+	return nil, f.enter(ctx)
+}
+
+func (f *fakeTable) Commit(ctx context.Context, writes ...platform.Write) error {
+	if err := f.enter(ctx); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.random.Float64() < f.loseBefore {
+		return platform.ErrUnknown
+	}
+	for _, w := range writes {
+		if f.rows[w.Key].Version != w.IfVersion {
+			return &platform.ConflictError{Keys: []string{w.Key}}
+		}
+	}
+	for _, w := range writes {
+		f.version++
+		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.version}
+	}
+	if f.random.Float64() < f.loseAfter {
+		return platform.ErrUnknown
+	}
+	return nil
+}
+
+func (f *fakeTable) change(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeTable) sent() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// newClient returns a client whose start jitter has passed.
+func newClient(f *fakeTable, limits Limits) *Client {
+	c := New(Config{Table: f, Limits: limits})
+	time.Sleep(time.Second)
+	return c
+}
+
+// Guards against a daemon that takes more than its share of the store.
+func TestBudgetBoundsTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTable(1)
+		c := newClient(f, Limits{ReadsPerSecond: 10, WritesPerSecond: 5})
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		var tasks sync.WaitGroup
+		for range 50 {
+			tasks.Go(func() {
+				for ctx.Err() == nil {
+					_, err := c.Get(ctx, "k")
+					assert.Check(t, err == nil || errors.Is(err, platform.ErrUnavailable), "%v", err)
+					// A refusal takes no virtual time.
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		tasks.Wait()
+		// 10 a second for 20 s, and what the second before saved of the burst.
+		assert.Assert(t, f.sent() <= 221 && f.sent() >= 200, "%d calls", f.sent())
+		assert.Assert(t, c.Stats().RefusedBudget > 0)
+	})
+}
+
+// Guards against calls that hang on a silent store, and against a write without
+// an answer that is reported as having had no effect.
+func TestTimeoutOfSilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTable(1)
+		f.silent = true
+		c := newClient(f, Limits{Timeout: time.Second})
+		begin := time.Now()
+		_, err := c.Get(t.Context(), "k")
+		assert.Equal(t, time.Since(begin), time.Second)
+		assert.Assert(t, errors.Is(err, ErrNoAnswer) && errors.Is(err, platform.ErrUnavailable))
+		err = c.Commit(t.Context(), platform.Write{Key: "k"})
+		assert.ErrorIs(t, err, platform.ErrUnknown)
+		assert.Equal(t, c.Stats().Timeouts, uint64(2))
+	})
+}
+
+// Guards against a slow store being taken for one that is down, while its
+// answers arrive within the timeout.
+func TestSlowStoreStaysInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTable(1)
+		f.latency = 900 * time.Millisecond
+		c := newClient(f, Limits{Timeout: time.Second})
+		for range 20 {
+			_, err := c.Get(t.Context(), "k")
+			assert.NilError(t, err)
+		}
+		f.change(func() { f.latency = 1100 * time.Millisecond })
+		for range openAfter {
+			_, err := c.Get(t.Context(), "k")
+			assert.ErrorIs(t, err, ErrNoAnswer)
+		}
+		_, err := c.Get(t.Context(), "k")
+		assert.ErrorIs(t, err, ErrBreakerOpen)
+	})
+}
+
+// Guards against conflicts and absent objects opening the breaker: they are
+// answers of a store that works.
+func TestConflictsAreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTable(1)
+		c := newClient(f, Limits{})
+		for range 3 * openAfter {
+			err := c.Commit(t.Context(), platform.Write{Key: "k", IfVersion: 99})
+			var conflict *platform.ConflictError
+			assert.Assert(t, errors.As(err, &conflict))
+		}
+		assert.Equal(t, c.Stats().BreakerOpened, uint64(0))
+	})
+}
+
+// Guards against callers that give up early and so open the breaker.
+func TestCallersThatGiveUpAreNoFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTable(1)
+		c := newClient(f, Limits{})
+		for range 3 * openAfter {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			_, err := c.Get(ctx, "k")
+			cancel()
+			assert.Assert(t, err != nil)
+		}
+		assert.Equal(t, c.Stats().Failures, uint64(0))
+		_, err := c.Get(t.Context(), "k")
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against a transaction that takes effect twice or is reported wrongly
+// when answers are lost before and after the effect.
+func TestCommitTokenResolvesLostAnswers(t *testing.T) {
+	for seed := range uint64(100) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeTable(seed)
+			f.loseBefore, f.loseAfter = 0.4, 0.4
+			c := newClient(f, Limits{ReadsPerSecond: 100, WritesPerSecond: 100})
+			first := []byte(fmt.Sprintf("token-%d first", seed))
+			// Lost answers open the breaker, so the writer has to be patient.
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+			defer cancel()
+			err := c.CommitToken(ctx, fmt.Sprintf("token-%d", seed),
+				platform.Write{Key: "a", Value: first}, platform.Write{Key: "b", Value: []byte("plain")})
+			assert.NilError(t, err)
+			assert.Equal(t, string(f.rows["a"].Value), string(first))
+			assert.Equal(t, f.version, uint64(2), "the transaction took effect more than once")
+		})
+	}
+}
+
+// Guards against a lost race that is reported as a success, and against a
+// success that another writer hid being reported as a failure without effect.
+func TestCommitTokenAgainstOtherWriters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTable(1)
+		c := newClient(f, Limits{})
+		other := platform.Row{Key: "a", Value: []byte("other"), Version: 7}
+		f.rows["a"] = other
+		write := platform.Write{Key: "a", Value: []byte("mine token-1")}
+		var conflict *platform.ConflictError
+		assert.Assert(t, errors.As(c.CommitToken(t.Context(), "token-1", write), &conflict))
+
+		f.change(func() { f.loseBefore = 1 })
+		err := c.CommitToken(t.Context(), "token-1", write)
+		assert.Assert(t, errors.Is(err, ErrOverwritten) && errors.Is(err, platform.ErrUnknown), "%v", err)
+	})
+}
+
+// Guards against a write that certainly had no effect being repeated until the
+// caller's deadline while the store is down.
+func TestCommitTokenFailsAtOnceWithoutEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTable(1)
+		f.refused = true
+		c := newClient(f, Limits{})
+		err := c.CommitToken(t.Context(), "t", platform.Write{Key: "a", Value: []byte("t")})
+		assert.Assert(t, errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown))
+		assert.Equal(t, f.sent(), 1)
+	})
+}
+
+// Guards against writes that reading back cannot resolve.
+func TestCommitTokenNeedsItsToken(t *testing.T) {
+	c := New(Config{Table: newFakeTable(1)})
+	err := c.CommitToken(t.Context(), "t", platform.Write{Key: "a", Value: []byte("x")})
+	assert.ErrorContains(t, err, "no value holds the token")
+	err = c.CommitToken(t.Context(), "t", platform.Write{Key: "a", Value: []byte("t"), Unconditional: true})
+	assert.ErrorContains(t, err, "unconditional")
+}
+
+// outage runs 160 clients of which each wants one read every 100 ms, with a
+// store that is down from second 60 to second 240.
+func outage(t *testing.T, fail func(*fakeTable, bool)) (f *fakeTable, recovered time.Duration) {
+	f = newFakeTable(1)
+	const clients = 160
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Second)
+	defer cancel()
+	var tasks sync.WaitGroup
+	answered := make([]time.Duration, clients)
+	for i := range clients {
+		c := New(Config{Table: f, Limits: Limits{ReadsPerSecond: 5, WritesPerSecond: 5}})
+		tasks.Go(func() {
+			for ctx.Err() == nil {
+				if _, err := c.Get(ctx, "k"); err == nil && answered[i] == 0 && time.Since(f.start) > 240*time.Second {
+					answered[i] = time.Since(f.start) - 240*time.Second
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(60 * time.Second)
+	f.change(func() { fail(f, true) })
+	time.Sleep(180 * time.Second)
+	f.change(func() { fail(f, false) })
+	tasks.Wait()
+	for _, a := range answered {
+		assert.Assert(t, a > 0, "a client never recovered")
+		recovered = max(recovered, a)
+	}
+	return f, recovered
+}
+
+func (f *fakeTable) rates(from, to int) (mean float64, highest int) {
+	sum := 0
+	for second := from; second < to; second++ {
+		sum += f.perSecond[second]
+		highest = max(highest, f.perSecond[second])
+	}
+	return float64(sum) / float64(to-from), highest
+}
+
+// Guards against a store that is kept down by its clients, at the start, during
+// an outage of minutes and after it. Prints the rates of requests.
+func TestOutageWith160Clients(t *testing.T) {
+	kinds := map[string]func(*fakeTable, bool){
+		"refusing": func(f *fakeTable, on bool) { f.refused = on },
+		"silent":   func(f *fakeTable, on bool) { f.silent = on },
+	}
+	for name, fail := range kinds {
+		synctest.Test(t, func(t *testing.T) {
+			f, recovered := outage(t, fail)
+			_, start := f.rates(0, 2)
+			before, beforeMax := f.rates(10, 60)
+			during, duringMax := f.rates(70, 239)
+			after, afterMax := f.rates(240, 299)
+			t.Logf("%s store, requests/s: first 2 s max %d; before %.0f (max %d); during %.1f (max %d); after %.0f (max %d); all recovered after %v",
+				name, start, before, beforeMax, during, duringMax, after, afterMax, recovered)
+			assert.Assert(t, start <= 2*160*5, "%d requests in one second at the start", start)
+			assert.Assert(t, during <= 60, "%.1f requests/s during the outage", during)
+			// The unused budget of 2 s may be spent at once after the outage.
+			assert.Assert(t, afterMax <= 3*160*5, "%d requests in one second after the outage", afterMax)
+			assert.Assert(t, recovered <= maxProbeDelay+2*defaultTimeout, "%v", recovered)
+		})
+	}
+}
