--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,8 @@
 	lastUp   map[string]time.Time
 	onPing   int
 	block    chan struct{}
+	// arrived gets a value for each Reserve when it is set.
+	arrived atomic.Pointer[chan struct{}]
 }
 
 type nodeOption func(*Config, *node)
@@ -66,6 +69,9 @@
 	if n.block != nil && m.GetPreempt() != nil {
 		<-n.block
 	}
+	if arrived := n.arrived.Load(); arrived != nil && m.GetReserve() != nil {
+		*arrived <- struct{}{}
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
