--- /dev/null
+++ b/internal/compare/rolloutcompare/world.go
@@ -0,0 +1,201 @@
+package rolloutcompare
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/internal/memtable"
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/rollout"
+)
+
+const (
+	// step is the resolution of virtual time and the delay of messages.
+	step = 50 * time.Millisecond
+	// drainEvery is how often entries send their counts and data centres judge.
+	drainEvery = 200 * time.Millisecond
+	// callTimeout is what a lost answer or a store that is down costs the caller.
+	callTimeout = time.Second
+	// restart is how long a killed daemon stays away.
+	restart = 30 * time.Second
+	service = "s"
+	move    = "m"
+	oldName = "v1"
+	newName = "v2"
+)
+
+var epoch = time.Date(2026, 11, 1, 8, 0, 0, 0, time.UTC)
+
+// world is one run of a scenario under one system.
+type world struct {
+	s      scenario
+	naive  bool
+	rand   *rand.Rand
+	at     time.Duration
+	table  *memtable.Table
+	set    *object.Set
+	nodes  []*node
+	loaded map[string]time.Duration
+	flight map[int64][]completion
+	mail   []func() // messages that arrive in the next step
+	watch  watch
+	result Result
+}
+
+// node is one daemon.
+type node struct {
+	w          *world
+	name       string
+	centre     int
+	deadUntil  time.Duration
+	shares     *rollout.Shares
+	collector  *rollout.Collector
+	aggregator *rollout.Aggregator // in use on the first live daemon of the centre
+	controller *rollout.Controller
+	unsent     []*rollout.Evidence
+	nextTick   time.Duration
+	failures   int // calls to the store that timed out in this tick
+	run        int
+}
+
+func (w *world) now() time.Time { return epoch.Add(w.at) }
+
+func (w *world) isolated(centre int) bool {
+	return centre == dataCentres-1 && w.s.cutOff.covers(w.at)
+}
+
+// reach reports whether messages pass between two centres.
+func (w *world) reach(a, b int) bool {
+	return a == b || (!w.isolated(a) && !w.isolated(b))
+}
+
+func (n *node) alive() bool { return n.w.at >= n.deadUntil }
+
+// boot starts the daemon with nothing but what its peers know.
+func (n *node) boot() {
+	w := n.w
+	n.run++
+	n.shares = rollout.NewSharesAt(w.now)
+	n.collector = rollout.NewCollector(n.shares, fmt.Sprintf("%s/%d", n.name, n.run))
+	n.unsent = nil
+	test := rollout.NewTest()
+	judge := rollout.Judge(test.Share(2 * dataCentres))
+	policy := rollout.Policy(&rollout.Machine{Options: rollout.DefaultOptions(), Judge: test.Share(2)})
+	if w.naive {
+		policy, judge = w.naivePolicy(), noJudge{}
+	}
+	n.aggregator = rollout.NewAggregator(rollout.AggregatorConfig{
+		Shares: n.shares, Origin: fmt.Sprintf("%s/%d", n.name, n.run), Judge: judge, Now: w.now,
+	})
+	n.controller = rollout.NewController(rollout.Config{
+		Table: n, Orders: n, Notify: n, Self: n.name, Shares: n.shares, Policy: policy, Now: w.now,
+		Spawn: func(f func()) { f() },
+		Deadline: func(ctx context.Context, _ time.Time) (context.Context, context.CancelFunc) {
+			return context.WithCancel(ctx) // virtual time does not pass during a call
+		},
+	})
+	n.controller.SetConfig(w.set)
+	n.nextTick = w.at
+	w.syncFrom(n)
+}
+
+// syncFrom gives n what the daemons that it reaches know.
+func (w *world) syncFrom(n *node) {
+	for _, other := range w.nodes {
+		if other == n || other.shares == nil || !other.alive() || !w.reach(n.centre, other.centre) {
+			continue
+		}
+		rows, cuts := other.shares.Known()
+		for _, r := range rows {
+			_, _ = n.shares.ApplyRow(r.Move, r.Sequence, r.Row)
+		}
+		for _, c := range cuts {
+			n.controller.Cut(c.Move, c.Attempt, c.Reason)
+		}
+	}
+}
+
+// tell sends a message to all daemons that can be reached.
+func (n *node) tell(deliver func(*node)) {
+	for _, other := range n.w.nodes {
+		if other == n {
+			continue
+		}
+		n.w.mail = append(n.w.mail, func() {
+			if other.alive() && n.w.reach(n.centre, other.centre) {
+				deliver(other)
+			}
+		})
+	}
+}
+
+// Row implements rollout.Notify.
+func (n *node) Row(move string, sequence uint64, row []byte) {
+	n.tell(func(o *node) { _, _ = o.shares.ApplyRow(move, sequence, row) })
+}
+
+// Cut implements rollout.Notify.
+func (n *node) Cut(move string, attempt int, reason string) {
+	n.w.watch.cut(n.w.at)
+	n.tell(func(o *node) { o.controller.Cut(move, attempt, reason) })
+}
+
+// Load implements rollout.Orders: a target takes 5 s to load.
+func (n *node) Load(_ context.Context, o rollout.SendOrder) (bool, error) {
+	at, ok := n.w.loaded[o.Target.Name]
+	if !ok {
+		n.w.loaded[o.Target.Name] = n.w.at + 5*time.Second
+		return false, nil
+	}
+	return n.w.at >= at, nil
+}
+
+func (n *node) storeFails() bool {
+	if n.w.isolated(n.centre) {
+		return true
+	}
+	for _, o := range n.w.s.storeDown {
+		if o.covers(n.w.at) {
+			return true
+		}
+	}
+	return false
+}
+
+// Get implements platform.Table.
+func (n *node) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if n.storeFails() {
+		n.failures++
+		return nil, platform.ErrUnavailable
+	}
+	return n.w.table.Get(ctx, keys...)
+}
+
+// Commit implements platform.Table. Half of the lost answers are lost requests.
+func (n *node) Commit(ctx context.Context, writes ...platform.Write) error {
+	if n.storeFails() {
+		n.failures++
+		return platform.ErrUnavailable
+	}
+	if n.w.rand.Float64() < n.w.s.lost {
+		n.failures++
+		if n.w.rand.IntN(2) == 0 {
+			_ = n.w.table.Commit(ctx, writes...)
+		}
+		return platform.ErrUnknown
+	}
+	return n.w.table.Commit(ctx, writes...)
+}
+
+// List implements platform.Table.
+func (n *node) List(ctx context.Context, prefix string, limit int) ([]platform.Row, error) {
+	return n.w.table.List(ctx, prefix, limit)
+}
+
+// noJudge never finds anything: the naive system has no local rule.
+type noJudge struct{}
+
+func (noJudge) Judge(*rollout.Tally, time.Time, uint32) rollout.Verdict { return rollout.Verdict{} }
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -37,7 +37,7 @@
 		DoneLead:          4 * time.Second,
 		WriteAllowance:    3 * time.Second,
 		TakeoverAllowance: 15 * time.Second,
-		Soak:              20 * time.Second,
+		Soak:              time.Minute,
 		MinimumDwell:      3 * time.Second,
 		OrderTimeout:      3 * time.Second,
 		LoadFraction:      0.25,
--- a/rollout/pool.go
+++ b/rollout/pool.go
@@ -7,7 +7,8 @@
 
 // The families of strata, from wide to narrow.
 const (
-	byRoute = iota
+	byVersion = iota
+	byRoute
 	byLoad
 	byTarget
 	byAll
@@ -16,6 +17,8 @@
 // project maps a stratum to the one that holds it in a family.
 func project(family int, s stratum) stratum {
 	switch family {
+	case byVersion:
+		return stratum{}
 	case byRoute:
 		return stratum{route: s.route}
 	case byLoad:
@@ -112,7 +115,7 @@
 	pools := make(map[stratum]*pool)
 	for key, fresh := range s.fresh {
 		old, matched := s.baseline(key, m)
-		if !matched && m.perLoad && (family == byRoute || family == byTarget) {
+		if !matched && m.perLoad && family != byLoad && family != byAll {
 			continue
 		}
 		wide := project(family, key)
@@ -125,8 +128,12 @@
 		p.add(old, trials{n: fresh.Requests, k: m.of(fresh)}, m)
 	}
 	for key, p := range pools {
-		total := s.old[byRoute][project(byRoute, key)].Requests
-		p.finish(total + m.assumed.n)
+		// Strata may share a baseline, which does not make more answers of it.
+		limit := s.old[byRoute][project(byRoute, key)].Requests
+		if family == byVersion {
+			limit = s.old[byVersion][stratum{}].Requests
+		}
+		p.finish(limit + m.assumed.n)
 	}
 	return pools
 }
@@ -168,7 +175,7 @@
 // goodRatio is the log likelihood ratio against the new version doing harm at the
 // next share.
 func (p *pool) goodRatio(m *metric, next uint32) float64 {
-	excess := math.Min(math.Max(m.least, harm*FullShare/float64(next)), 0.5)
+	excess := math.Min(math.Max(m.least, m.harm*FullShare/float64(next)), 0.5)
 	b := bound{offset: excess, slope: 1}
 	if p.fresh.rate() >= b.offset+p.old.rate() {
 		return 0
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -17,16 +17,13 @@
 	// trusted is the number of old answers from which a stratum is its own
 	// baseline; below it, the old answers of a wider stratum are taken.
 	trusted = 20
-	// families is the number of ways to divide the answers: by route, by route and
-	// load, by route and target, and by all three.
-	families = 4
+	// families is the number of ways to divide the answers: not at all, by route, by
+	// route and load, by route and target, and by all three.
+	families = 5
 	// restarts is the number of windows in 15 minutes. Half of the windows' error
 	// probability is spent on them, half of the rest on the next 15 minutes, and
 	// so on.
 	restarts = float64(15 * time.Minute / slot)
-	// harm is the share of all requests that a fault may hurt at the next step
-	// when the step counts as safe.
-	harm = 0.01
 )
 
 // metric is one property of answers that the test compares.
@@ -41,8 +38,9 @@
 	// perLoad says that the rate depends on the load level even for a good
 	// version, so that levels without an old version beside are not pooled.
 	perLoad bool
-	// least is the smallest excess that counts as harm at any share.
-	least float64
+	// harm is the share of all requests that a fault may hurt at the next step when
+	// the step counts as safe; least is the smallest excess that counts as harm.
+	harm, least float64
 	// assumed are answers of the old version taken for granted before any arrive.
 	assumed  trials
 	oldPrior prior
@@ -56,6 +54,7 @@
 	of:        func(c Counts) float64 { return c.Errors },
 	tolerated: bound{offset: 0.005, slope: 1.5},
 	unmatched: bound{offset: 0.02, slope: 2},
+	harm:      0.01,
 	least:     0.03,
 	assumed:   trials{n: 20, k: 0},
 	oldPrior:  prior{alpha: 0.5, beta: 10},
@@ -66,6 +65,7 @@
 	tolerated: bound{offset: 0.05, slope: 1.3},
 	unmatched: bound{offset: 0.45, slope: 1},
 	perLoad:   true,
+	harm:      0.02,
 	least:     0.15,
 	assumed:   trials{n: 20, k: 2},
 	oldPrior:  prior{alpha: 1, beta: 9},
@@ -79,7 +79,7 @@
 	// Alpha is the probability of calling a good version bad during one attempt.
 	Alpha float64
 	// Beta is the probability of calling a version good whose excess of faults
-	// would hurt more than 1% of the requests at the next share.
+	// would do more than the tolerated harm at the next share.
 	Beta float64
 }
 
@@ -162,7 +162,7 @@
 func (t *Test) judgeGood(s *snapshot, next uint32) bool {
 	routes := 0
 	for m := range metrics {
-		pools := s.pools(0, &metrics[m])
+		pools := s.pools(byRoute, &metrics[m])
 		limit := math.Log(float64(len(metrics)*max(len(pools), 1)) / t.Beta)
 		for _, p := range pools {
 			if p.goodRatio(&metrics[m], next) < limit {
@@ -176,6 +176,9 @@
 
 func reason(family int, key stratum, p *pool, m *metric, sp span) string {
 	where := "route " + key.route
+	if family == byVersion {
+		where = "all routes"
+	}
 	if key.target != "" {
 		where += ", target " + key.target
 	}
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -99,6 +99,19 @@
 	return true
 }
 
+// Totals returns the answers of a version over all strata since the start.
+func (t *Tally) Totals(version string) Counts {
+	var sum Counts
+	for _, p := range t.pairs {
+		if version == t.To {
+			sum.add(p.new)
+		} else {
+			sum.add(p.old)
+		}
+	}
+	return sum
+}
+
 func (t *Tally) add(now time.Time, c *Cell) {
 	if c.Version != t.From && c.Version != t.To {
 		return
