--- a/estimate/model.go
+++ b/estimate/model.go
@@ -1,9 +1,6 @@
 package estimate
 
-import (
-	"math/bits"
-	"time"
-)
+import "time"
 
 const (
 	// DefaultPrefillRate is the prefill rate in tokens/s before any observation.
@@ -52,15 +49,6 @@
 	bounded          bool
 }
 
-// engine holds the estimates of one version on one hardware generation.
-type engine struct {
-	prefill tracker
-	plain   tracker
-	decode  [batchBuckets]tracker
-	spread  quantile
-	samples int
-}
-
 // New returns a model with defaults only.
 func New() *Model {
 	return &Model{
@@ -81,64 +69,46 @@
 	Plain bool
 }
 
-// Prediction is a pair of times since dispatch to an engine with a free slot.
+// Prediction is the expected course of a job.
 type Prediction struct {
+	// FirstToken and Finish are times since dispatch to an engine with a free
+	// slot.
 	FirstToken time.Duration
 	Finish     time.Duration
+	// Spread is the factor by which Finish is stretched so that nearly all
+	// requests of the version and hardware generation keep it; at least 1.
+	Spread float64
+	// Settled says that enough was observed to refuse work on this prediction.
+	Settled bool
 }
 
-// Predict returns the expected times of a job.
+// Predict returns the expected course of a job.
 func (m *Model) Predict(job Job) Prediction {
+	e := m.engines[engineKey{job.Version, job.Hardware}]
+	p := Prediction{Spread: e.spreadFactor(), Settled: e.settled()}
 	if job.Plain {
-		d := m.plainTime(job.Version, job.Hardware)
-		return Prediction{FirstToken: d, Finish: d}
+		p.FirstToken = e.plainTime()
+		p.Finish = p.FirstToken
+		return p
 	}
-	first := m.PrefillTime(job.Version, job.Hardware, job.PrefillTokens)
-	decode := m.TokenTime(job.Version, job.Hardware, job.Batch) * time.Duration(max(job.OutputTokens, 1))
-	return Prediction{FirstToken: first, Finish: first + decode}
+	p.FirstToken = e.prefillTime(job.PrefillTokens)
+	p.Finish = p.FirstToken + e.tokenTime(job.Batch)*time.Duration(max(job.OutputTokens, 1))
+	return p
 }
 
 // PrefillTime returns the time to prefill a number of tokens.
 func (m *Model) PrefillTime(version, hardware string, tokens int) time.Duration {
-	rate := float64(DefaultPrefillRate)
-	if e := m.engines[engineKey{version, hardware}]; e != nil && e.prefill.samples > 0 {
-		rate = e.prefill.value()
-	}
-	return time.Duration(float64(max(tokens, 0)) / rate * float64(time.Second))
+	return m.engines[engineKey{version, hardware}].prefillTime(tokens)
 }
 
 // TokenTime returns the time per output token at a batch size.
 func (m *Model) TokenTime(version, hardware string, batch int) time.Duration {
-	usual := defaultTokenTime(batch)
-	e := m.engines[engineKey{version, hardware}]
-	if e == nil {
-		return usual
-	}
-	at := batchBucket(batch)
-	for distance := range batchBuckets {
-		for _, i := range [2]int{at - distance, at + distance} {
-			if i >= 0 && i < batchBuckets && e.decode[i].samples > 0 {
-				return time.Duration(float64(usual) * e.decode[i].value())
-			}
-		}
-	}
-	return usual
+	return m.engines[engineKey{version, hardware}].tokenTime(batch)
 }
 
 // Settled reports whether enough was observed to refuse work on a prediction.
 func (m *Model) Settled(version, hardware string) bool {
-	e := m.engines[engineKey{version, hardware}]
-	return e != nil && e.samples >= settledSamples
-}
-
-// Spread returns the factor by which predictions are stretched so that nearly
-// all requests of a version and hardware generation keep them; at least 1.
-func (m *Model) Spread(version, hardware string) float64 {
-	e := m.engines[engineKey{version, hardware}]
-	if e == nil || e.spread.samples < settledSamples {
-		return defaultSpread
-	}
-	return max(1, min(e.spread.value(), maxSpread))
+	return m.engines[engineKey{version, hardware}].settled()
 }
 
 // ObserveSpread compares the time that a request took with the prediction made
@@ -229,13 +199,6 @@
 	return q
 }
 
-func (m *Model) plainTime(version, hardware string) time.Duration {
-	if e := m.engines[engineKey{version, hardware}]; e != nil && e.plain.samples > 0 {
-		return time.Duration(e.plain.value() * float64(time.Second))
-	}
-	return DefaultPlainTime
-}
-
 func (m *Model) engine(key engineKey) *engine {
 	e := m.engines[key]
 	if e == nil {
@@ -257,11 +220,3 @@
 		return
 	}
 }
-
-func defaultTokenTime(batch int) time.Duration {
-	return DefaultTokenTime + time.Duration(max(batch, 1)-1)*DefaultTokenTimeSlope
-}
-
-func batchBucket(batch int) int {
-	return min(bits.Len(uint(max(batch, 1)))-1, batchBuckets-1)
-}
--- a/owner/predict.go
+++ b/owner/predict.go
@@ -71,30 +71,14 @@
 // optimism is the part of a prediction that a request hardly undercuts.
 const optimism = 0.8
 
-// feasible returns the targets on which a request that starts now ends by its
-// deadline: almost certainly, or at best if hopeful is set.
-func (g *Group) feasible(now time.Time, j *job, class admission.Class, hopeful bool) uint64 {
-	mask := uint64(0)
-	left := j.request.Deadline.Sub(now)
-	for _, t := range g.targets {
-		if t.bit&class.Targets != 0 && g.neededOn(j, t, hopeful) <= left {
-			mask |= t.bit
-		}
-	}
-	return mask
-}
-
-// neededOn returns the time that a request needs on a target with a full batch.
-func (g *Group) neededOn(j *job, t *target, hopeful bool) time.Duration {
-	version, hardware := j.request.Version, t.info.Hardware
-	if !g.options.Model.Settled(version, hardware) {
-		return 0
-	}
-	factor := g.options.Model.Spread(version, hardware)
-	if hopeful {
-		factor = optimism
+// neededOn returns the times that a request needs on a target with a full batch:
+// almost certainly, and at best. Both are zero while the estimates are too young.
+func (g *Group) neededOn(j *job, t *target) (sure, best time.Duration) {
+	p := g.fullBatch(&j.request, t)
+	if !p.Settled {
+		return 0, 0
 	}
-	return time.Duration(float64(g.fullBatch(&j.request, t).Finish) * factor)
+	return time.Duration(float64(p.Finish) * p.Spread), time.Duration(float64(p.Finish) * optimism)
 }
 
 // fastest returns the time that a request needs on the fastest target of a mask.
@@ -104,8 +88,8 @@
 		if t.bit&mask == 0 {
 			continue
 		}
-		if d := g.neededOn(j, t, false); need < 0 || d < need {
-			need = d
+		if sure, _ := g.neededOn(j, t); need < 0 || sure < need {
+			need = sure
 		}
 	}
 	return max(need, 0)
@@ -125,14 +109,28 @@
 // end late are only possible ones.
 func (g *Group) narrow(now time.Time, j *job) (admission.Class, chance) {
 	class := g.classOf(&j.request)
-	up := g.upMask()
-	hopeful := g.feasible(now, j, class, true)
+	left := j.request.Deadline.Sub(now)
+	up, surely, hopeful := uint64(0), uint64(0), uint64(0)
+	for _, t := range g.targets {
+		if t.state == Up {
+			up |= t.bit
+		}
+		if t.bit&class.Targets == 0 {
+			continue
+		}
+		sure, best := g.neededOn(j, t)
+		if sure <= left {
+			surely |= t.bit
+		}
+		if best <= left {
+			hopeful |= t.bit
+		}
+	}
 	if hopeful&up == 0 {
 		return class, hopeless
 	}
-	sure := g.feasible(now, j, class, false)
-	class.Targets, class.Possible = sure, hopeful
-	if sure&up == 0 {
+	class.Targets, class.Possible = surely, hopeful
+	if surely&up == 0 {
 		class.Targets = hopeful
 		return class, possible
 	}
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -53,11 +53,10 @@
 	return t.info.KVTokens == 0 || t.kv-t.stoppingKV-kv+t.need(&j.request) <= t.info.KVTokens
 }
 
-// preemptFor stops lower-tier work on one target until j has room there. The
-// first victim decides the target: work that has not finished its prefill comes
+// preemptFor stops lower-tier work on one usable target until j has room there.
+// The first victim decides the target: work that has not finished its prefill comes
 // first, then the lowest tier, then the newest.
-func (g *Group) preemptFor(now time.Time, j *job) {
-	usable := j.item.Class.Targets
+func (g *Group) preemptFor(now time.Time, j *job, usable uint64) {
 	var first *job
 	for _, t := range g.targets {
 		if t.bit&usable == 0 || !g.canMakeRoom(t, j) {
--- a/owner/random_test.go
+++ b/owner/random_test.go
@@ -289,7 +289,7 @@
 			continue
 		}
 		// Room on a target where the request ends late even at best is no help.
-		if r.g.neededOn(&job{request: q}, t, true) > q.Deadline.Sub(r.now) {
+		if _, best := r.g.neededOn(&job{request: q}, t); best > q.Deadline.Sub(r.now) {
 			continue
 		}
 		room := t.kv - t.stoppingKV
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -143,7 +143,7 @@
 	if !j.request.MayPreempt {
 		return ReasonPreemptionNeeded, 0
 	}
-	g.preemptFor(now, j)
+	g.preemptFor(now, j, usable)
 	return ReasonNone, 0
 }
 
@@ -162,8 +162,9 @@
 		return false
 	}
 	newest := g.queue.Newest(lowest).Value
-	if g.hasVictims(newest, newest.item.Class.Possible&g.upMask()) {
-		g.preemptFor(now, newest)
+	usable := newest.item.Class.Possible & g.upMask()
+	if g.hasVictims(newest, usable) {
+		g.preemptFor(now, newest, usable)
 		return true
 	}
 	g.refuse(newest, ReasonCapacity, maxRetryAfter)
@@ -182,7 +183,7 @@
 	class, chance := g.narrow(now, j)
 	usable := class.Targets & g.upMask()
 	victims := chance != hopeless && g.hasVictims(j, usable)
-	if !now.Before(j.request.Deadline) || (!victims && g.givesUp(j, chance)) {
+	if !now.Before(j.request.Deadline) || (!victims && g.givesUp(now, j, chance)) {
 		g.observeWait(now, j)
 		g.refuse(j, ReasonExpired, retryAfter(g.queueWait(j, usable)))
 		return
@@ -191,16 +192,20 @@
 	urgent := !now.Before(g.urgentAt(j))
 	patient := now.Sub(j.item.Arrived) < g.options.PreemptAfter
 	if victims && (urgent || !patient) && g.mayPreemptNow(now, j, urgent) {
-		g.preemptFor(now, j)
+		g.preemptFor(now, j, usable)
 	}
 	g.queue.SetTimer(&j.item, g.nextTimer(now, j))
 }
 
 // givesUp reports whether starting a request now would probably waste its
 // prefill. A request that might still end in time tries it, unless others of its
-// tier or a higher one wait.
-func (g *Group) givesUp(j *job, c chance) bool {
-	return c == hopeless || (c == possible && g.queue.CountUpTo(j.request.Tier) > 1)
+// tier or a higher one wait and no work was just preempted for it.
+func (g *Group) givesUp(now time.Time, j *job, c chance) bool {
+	if c != possible {
+		return c == hopeless
+	}
+	rescued := now.Sub(j.lastPreempt) < victimTimeout
+	return !rescued && g.queue.CountUpTo(j.request.Tier) > 1
 }
 
 // nextTimer is the next time to look at a waiting request: when it may preempt,
@@ -218,14 +223,19 @@
 	} else if g.lowerRuns(j, j.item.Class.Targets&g.upMask()) {
 		consider(now.Add(preemptRetry))
 	}
-	consider(g.urgentAt(j))
-	if urgent := g.urgentAt(j); !urgent.After(now) && g.lowerRuns(j, j.item.Class.Targets&g.upMask()) {
+	urgent := g.urgentAt(j)
+	consider(urgent)
+	if rescue := j.lastPreempt.Add(victimTimeout); !j.lastPreempt.IsZero() {
+		consider(rescue)
+	}
+	if !urgent.After(now) && g.lowerRuns(j, j.item.Class.Targets&g.upMask()) {
 		consider(now.Add(preemptRetry))
 	}
 	for _, t := range g.targets {
 		if t.bit&j.item.Class.Possible != 0 {
-			consider(j.request.Deadline.Add(time.Nanosecond - g.neededOn(j, t, false)))
-			consider(j.request.Deadline.Add(time.Nanosecond - g.neededOn(j, t, true)))
+			sure, best := g.neededOn(j, t)
+			consider(j.request.Deadline.Add(time.Nanosecond - sure))
+			consider(j.request.Deadline.Add(time.Nanosecond - best))
 		}
 	}
 	return next
