--- a/bench/standin/engine/server.go
+++ b/bench/standin/engine/server.go
@@ -58,7 +58,7 @@
 	reports    []report
 }
 
-// Execution is one request that the engine admitted.
+// Execution is one request that the engine ran; a version that fails runs it too.
 type Execution struct {
 	RequestID string `json:"requestId"`
 	Version   string `json:"version"`
@@ -296,12 +296,13 @@
 		http.Error(w, "version is not loaded", http.StatusNotFound)
 		return
 	}
+	id := r.Header.Get("X-Request-Id")
+	s.logExecution(Execution{RequestID: id, Version: in.Model, From: in.ResumeFrom})
 	running, _, _ := s.batch.counts()
 	if rand.Float64() < f.Version(in.Model, running, r.URL.Path).FailShare {
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
 	seq := s.submit(id, in, prompt)
 	defer s.batch.cancel(seq)
 	stream := &streamWriter{w: w, r: r, s: s, seq: seq, id: id, model: in.Model, hash: xxhash.Sum64String(prompt)}
@@ -329,13 +330,16 @@
 		total:   total,
 		out:     make(chan int, total),
 	}
-	s.mu.Lock()
-	s.executions = append(s.executions, Execution{RequestID: id, Version: in.Model, From: in.ResumeFrom})
-	s.mu.Unlock()
 	s.batch.add(seq)
 	return seq
 }
 
+func (s *Server) logExecution(x Execution) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executions = append(s.executions, x)
+}
+
 // crashNow drops all streams and refuses calls for the crash time.
 func (s *Server) crashNow() {
 	s.crashes.Add(1)
