Do not shed a request that has run before

Cause: the demo's burst ended streams with an error event: they had been preempted, and the owner refused them (capacity) when they were reserved again.

Ruled out: leaving preempted requests out of preemption; a second preemption is harmless, the refusal is not.

Change: a request that has run is marked accepted, keeps its place until its final deadline, and is neither refused early nor evicted.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -145,6 +145,8 @@
 		PromptTokens: r.PromptTokens + c.next,
 		OutputTokens: max(1, r.OutputTokens-c.next),
 		Deadline:     c.due(),
+		Final:        r.Deadline,
+		Accepted:     c.attempts > 0,
 		Preemptible:  true,
 		Suspect:      c.suspect,
 		Fingerprint:  r.Fingerprint,
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -224,6 +224,7 @@
 		Account:     r.Caller.Account.Name,
 		Tier:        r.Caller.Tier.Rank,
 		Deadline:    r.Deadline,
+		Final:       r.Deadline,
 		Plain:       true,
 		Suspect:     p.suspect,
 		Fingerprint: r.Fingerprint,
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -21,12 +21,17 @@
 	Tier         int
 	PromptTokens int
 	OutputTokens int
-	Deadline     time.Time
-	Preemptible  bool
-	Suspect      bool
-	Plain        bool
-	Fingerprint  uint64
-	Prefix       []uint64
+	// Deadline is the time by which the answer has to end, Final the time until
+	// which a request that has run is followed.
+	Deadline time.Time
+	Final    time.Time
+	// Accepted is set once the request has run.
+	Accepted    bool
+	Preemptible bool
+	Suspect     bool
+	Plain       bool
+	Fingerprint uint64
+	Prefix      []uint64
 	// Exclude lists targets that failed this request.
 	Exclude []string
 }
--- a/internal/grants/encode.go
+++ b/internal/grants/encode.go
@@ -20,6 +20,8 @@
 		PromptTokens: uint32(need.PromptTokens),
 		OutputTokens: uint32(need.OutputTokens),
 		RemainingMs:  uint32(max(0, time.Until(need.Deadline).Milliseconds())),
+		FinalMs:      uint32(max(0, time.Until(need.Final).Milliseconds())),
+		Accepted:     need.Accepted,
 		Preemptible:  need.Preemptible,
 		Fingerprint:  need.Fingerprint,
 		Suspect:      need.Suspect,
--- a/internal/owners/messages.go
+++ b/internal/owners/messages.go
@@ -95,6 +95,8 @@
 		PromptTokens: int(m.PromptTokens),
 		OutputTokens: int(m.OutputTokens),
 		Deadline:     now.Add(time.Duration(m.RemainingMs) * time.Millisecond),
+		Final:        now.Add(time.Duration(m.FinalMs) * time.Millisecond),
+		Accepted:     m.Accepted,
 		Preemptible:  m.Preemptible,
 		Suspect:      m.Suspect,
 		Plain:        m.Plain,
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -43,6 +43,9 @@
 func (g *Group) newJob(now time.Time, request Request) *job {
 	j := &job{request: request}
 	j.request.Tier = clampTier(request.Tier)
+	if request.Accepted {
+		j.accept()
+	}
 	j.item = admission.Item[*job]{
 		Value:   j,
 		Account: request.Account,
@@ -54,6 +57,15 @@
 	return j
 }
 
+// accept marks a request as one that has run: it is followed until its final
+// deadline.
+func (j *job) accept() {
+	j.request.Accepted = true
+	if !j.request.Final.IsZero() {
+		j.request.Deadline = j.request.Final
+	}
+}
+
 // repeat answers a Reserve that was sent again, because a reply was lost.
 func (g *Group) repeat(j *job) {
 	if j.target == nil {
@@ -80,6 +92,7 @@
 	j.request.Target = ""
 	j.item.Class, _ = g.narrow(now, j)
 	j.item.Paid = true
+	j.accept()
 	j.item.Work = g.workOf(&j.request, j.item.Class.Targets)
 	if j.item.Class.Targets&g.upMask() == 0 {
 		g.refuse(j, ReasonNoTarget, 0)
@@ -106,6 +119,9 @@
 	if !now.Before(j.request.Deadline) {
 		return ReasonDeadline, 0
 	}
+	if j.request.Accepted {
+		return ReasonNone, 0
+	}
 	if g.tooLateWhenIdle(now, j, usable) {
 		return ReasonDeadline, 0
 	}
@@ -162,6 +178,11 @@
 		return false
 	}
 	newest := g.queue.Newest(lowest).Value
+	if newest.request.Accepted {
+		// The queue exceeds its limit by what was accepted, which the slots of the
+		// targets bound.
+		return true
+	}
 	usable := newest.item.Class.Possible & g.upMask()
 	if g.hasVictims(newest, usable) {
 		g.preemptFor(now, newest, usable)
@@ -201,6 +222,9 @@
 // prefill. A request that might still end in time tries it, unless others of its
 // tier or a higher one wait and no work was just preempted for it.
 func (g *Group) givesUp(now time.Time, j *job, c chance) bool {
+	if j.request.Accepted {
+		return false
+	}
 	if c != possible {
 		return c == hopeless
 	}
--- a/owner/types.go
+++ b/owner/types.go
@@ -41,7 +41,12 @@
 	// Tier 0 is the highest.
 	Tier                       int
 	PromptTokens, OutputTokens int
-	Deadline                   time.Time
+	// Deadline is the time by which the answer has to end, Final the time until
+	// which a request that has run is followed; the zero Final is Deadline.
+	Deadline, Final time.Time
+	// Accepted marks a request that has run before. It is not shed: its caller may
+	// have received a part of the answer.
+	Accepted bool
 	// Preemptible work may be stopped and resumed. Plain calls never are.
 	Preemptible bool
 	// Suspect runs only on a target that runs no other suspect.
