--- a/confsync/syncer_test.go
+++ b/confsync/syncer_test.go
@@ -281,6 +281,26 @@
 	})
 }
 
+// Guards against a poll and a push that install at the same moment: the lower
+// generation must not replace the higher one.
+func TestInstallNeverGoesBack(t *testing.T) {
+	s := NewSyncer(Config{
+		Self:   "a",
+		Sender: link{cluster: newCluster(1, 1)},
+		Live:   func() ([]string, uint64) { return []string{"a"}, 1 },
+	})
+	var seen []uint64
+	s.Subscribe(func(generation uint64, _ *object.Set) { seen = append(seen, generation) })
+	for _, generation := range []uint64{4, 7, 5, 7, 6, 8, 1} {
+		next := &inForce{generation: generation, set: testSet(int(generation))}
+		s.install("", next, &peerpb.ConfigData{Generation: generation})
+	}
+	assert.DeepEqual(t, seen, []uint64{4, 7, 8})
+	generation, set := s.Current()
+	assert.Equal(t, generation, uint64(8))
+	assert.Equal(t, set.Services[0].Version, "v8")
+}
+
 // Guards against whole sets being sent where a delta is enough, also for a
 // daemon that missed several generations.
 func TestDaemonBehindGetsDeltas(t *testing.T) {
@@ -334,6 +354,7 @@
 			c.locked(func() { c.bytes = 0 })
 			start := time.Now()
 			var all []time.Duration
+			spread := time.Duration(0)
 			for i := range publications {
 				if killed {
 					c.killPollers()
@@ -343,17 +364,23 @@
 				time.Sleep(bound)
 				assert.DeepEqual(t, c.lacking(generation, 0), []string(nil))
 				c.locked(func() {
+					first, last := bound, time.Duration(0)
 					for _, at := range c.arrival[generation] {
 						all = append(all, at.Sub(published))
+						first, last = min(first, at.Sub(published)), max(last, at.Sub(published))
 					}
+					spread = max(spread, last-first)
 				})
 				c.heal()
 				time.Sleep(2 * time.Second)
 			}
 			slices.Sort(all)
 			elapsed := time.Since(start).Seconds()
-			t.Logf("both pollers killed: %t; time to in force: p50 %v, p95 %v, p99 %v, max %v", killed,
-				quantile(all, 0.5), quantile(all, 0.95), quantile(all, 0.99), all[len(all)-1])
+			t.Logf("both pollers killed: %t; time to in force: p50 %v, p95 %v, p99 %v, max %v; longest from first to last daemon %v", killed,
+				quantile(all, 0.5), quantile(all, 0.95), quantile(all, 0.99), quantile(all, 1), spread.Round(time.Millisecond))
+			// The tree has 4 levels and is passed upwards and downwards. A change
+			// that waits for a ping takes up to a second.
+			assert.Assert(t, killed || spread < 50*time.Millisecond, "the push took %v", spread)
 			c.stopAll()
 			t.Logf("row reads %.1f/s, object reads %.2f/s, %.0f bytes of data per publication and daemon",
 				float64(c.store.rowReads)/elapsed, float64(c.store.objectReads)/elapsed, float64(c.bytes)/publications/daemons)
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -70,6 +70,23 @@
 	s.noWrongRemovals()
 }
 
+// Guards against a daemon that was paused itself and blames the others for the
+// silence.
+func TestOwnPauseIsNotHeldAgainstOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(Config{Self: Member{Name: "a-0", DataCentre: "a", Incarnation: 1}}, now)
+	table.SessionUp(now, Member{Name: "a-1", DataCentre: "a", Incarnation: 5})
+	table.Tick(now)
+	now = now.Add(time.Minute)
+	table.Tick(now)
+	assert.Equal(t, table.entries["a-1"].State, Alive)
+	for range 4 * time.Second / TickInterval {
+		now = now.Add(TickInterval)
+		table.Tick(now)
+	}
+	assert.Equal(t, table.entries["a-1"].State, Suspect)
+}
+
 // Guards against members that stay removed after a partition heals, and against
 // removals within a data centre because of what the other one believes.
 func TestPartitionHeals(t *testing.T) {
@@ -104,6 +121,27 @@
 	t.Logf("healed after %v", s.now.Sub(start))
 }
 
+// Guards against a suspicion from a data centre that cannot reach a member: the
+// own data centre watches its members itself, and tells the member so that it
+// refutes the report.
+func TestReportOfOtherDataCentreIsDoubted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(Config{Self: Member{Name: "a-0", DataCentre: "a", Incarnation: 1}}, now)
+	subject := Member{Name: "a-1", DataCentre: "a", Incarnation: 5, State: Alive}
+	table.Merge(now, "a-2", []Member{subject, {Name: "a-2", DataCentre: "a", Incarnation: 5, State: Alive}})
+	table.SessionUp(now, Member{Name: "b-1", DataCentre: "b", Incarnation: 5})
+	now = now.Add(time.Minute)
+	report := subject
+	report.State = Suspect
+
+	actions := table.Merge(now, "b-1", []Member{report})
+	assert.DeepEqual(t, actions, []Action{Gossip{To: []string{"a-1"}, Members: []Member{report}}})
+	assert.Equal(t, table.entries["a-1"].State, Alive)
+
+	table.Merge(now, "a-2", []Member{report})
+	assert.Equal(t, table.entries["a-1"].State, Suspect)
+}
+
 // Guards against an empty or short VM list that removes daemons that run.
 func TestListThatLosesDaemonsRemovesNone(t *testing.T) {
 	s := newSimulation(t, 4, map[string]int{"a": 30})
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
+	"github.com/marjoramflow/marjoramflow/ring"
 )
 
 func TestMain(m *testing.M) {
@@ -199,6 +201,40 @@
 	}
 }
 
+// closedConn stands in for the connection of a session that is only compared.
+type closedConn struct{ net.Conn }
+
+func (closedConn) Close() error { return nil }
+
+// Guards against the two sides of crossed dials keeping different sessions: for
+// each order in which the sides see the two connections, both keep the same.
+func TestCrossedDialsAreDecidedAlike(t *testing.T) {
+	kept := func(self, other string, dialledFirst bool, later time.Duration) (dialler string) {
+		m := &Mesh{config: Config{Self: Identity{Name: self}}, peers: map[string]*remote{}}
+		now := time.Now()
+		for i, dialled := range []bool{dialledFirst, !dialledFirst} {
+			s := &session{
+				mesh: m, hello: &peerpb.Hello{Name: other}, dialled: dialled,
+				since:     now.Add(time.Duration(i) * later),
+				transport: &transport{wire: &wireConn{Conn: closedConn{}}},
+				out:       ring.New[*peerpb.Envelope](1), closed: make(chan struct{}),
+			}
+			_ = m.admit(s)
+		}
+		if m.peers[other].current.dialled {
+			return self
+		}
+		return other
+	}
+	for _, first := range []bool{true, false} {
+		assert.Equal(t, kept("a", "b", first, time.Millisecond), "a")
+		assert.Equal(t, kept("b", "a", first, time.Millisecond), "a")
+	}
+	// A peer that dials over an old session has lost that session.
+	assert.Equal(t, kept("a", "b", true, time.Minute), "b")
+	assert.Equal(t, kept("a", "b", false, time.Minute), "a")
+}
+
 // checkAlternates guards against an "up" report for a session that is up
 // already, and a "down" report without one.
 func checkAlternates(t *testing.T, n *node) {
