--- a/internal/compare/rolloutcompare/report.go
+++ b/internal/compare/rolloutcompare/report.go
@@ -53,8 +53,10 @@
 	InTime   int
 	// Hurt parts of the requests of each route of each move, ascending.
 	Hurt []float64
-	// ToZero times from the crossing of the bound to zero share, ascending.
-	ToZero []time.Duration
+	// ToZero and ToReached are times from the crossing of the bound to zero share,
+	// everywhere and at the daemons that are not cut off, ascending.
+	ToZero    []time.Duration
+	ToReached []time.Duration
 }
 
 // Summarize sums up the results that keep selects.
@@ -79,10 +81,12 @@
 		}
 		if r.Crossed && r.Phase == rollout.Reversed {
 			s.ToZero = append(s.ToZero, r.ToZero)
+			s.ToReached = append(s.ToReached, r.ToReached)
 		}
 	}
 	slices.Sort(s.Hurt)
 	slices.Sort(s.ToZero)
+	slices.Sort(s.ToReached)
 	return s
 }
 
@@ -122,9 +126,9 @@
 
 // Print writes the table of all systems.
 func Print(w io.Writer, systems []System) error {
-	const head = "%-8s %-26s %5s %9s %8s %9s %9s %9s %7s %8s %8s %6s\n"
+	const head = "%-8s %-26s %5s %9s %8s %9s %9s %9s %7s %8s %8s %7s %9s %7s\n"
 	_, err := fmt.Fprintf(w, head, "system", "moves", "n", "reversed", "in time",
-		"hurt mean", "hurt p95", "hurt max", "<1%", "zero p50", "zero max", "<2 s")
+		"hurt mean", "hurt p95", "hurt max", "<1%", "zero p50", "zero max", "<2 s", "reach max", "<2 s")
 	for _, system := range systems {
 		for _, g := range Groups(system.Results) {
 			if err != nil {
@@ -139,7 +143,8 @@
 				percent(float64(g.Reversed)/n), percent(float64(g.InTime)/n),
 				percent(mean), percent(Quantile(g.Hurt, 0.95)), percent(Quantile(g.Hurt, 1)), percent(Under(g.Hurt, 0.01)),
 				fmt.Sprintf("%.2fs", Quantile(g.ToZero, 0.5).Seconds()),
-				fmt.Sprintf("%.2fs", Quantile(g.ToZero, 1).Seconds()), percent(Under(g.ToZero, 2*time.Second)))
+				fmt.Sprintf("%.2fs", Quantile(g.ToZero, 1).Seconds()), percent(Under(g.ToZero, 2*time.Second)),
+				fmt.Sprintf("%.2fs", Quantile(g.ToReached, 1).Seconds()), percent(Under(g.ToReached, 2*time.Second)))
 		}
 	}
 	return err
--- a/internal/compare/rolloutcompare/run.go
+++ b/internal/compare/rolloutcompare/run.go
@@ -23,10 +23,12 @@
 	Requests [routes]int
 	Hurt     [routes]int
 	// Crossed says that the evidence crossed its bound while the new version had a
-	// share, and ToZero is the time from then to zero share everywhere.
-	Crossed bool
-	ToZero  time.Duration
-	Reason  string
+	// share. ToZero is the time from then to zero share everywhere, and ToReached
+	// that to zero share at the daemons that are not cut off.
+	Crossed   bool
+	ToZero    time.Duration
+	ToReached time.Duration
+	Reason    string
 }
 
 // runOne runs one move until its deadline has passed.
@@ -185,6 +187,7 @@
 	r.InTime = w.watch.inForce > 0 && w.watch.inForce < w.s.deadline
 	r.Took = w.watch.final
 	r.Crossed = w.watch.crossed > 0
-	r.ToZero = w.watch.toZero()
+	r.ToZero = w.watch.since(w.watch.zero)
+	r.ToReached = w.watch.since(w.watch.reached)
 	return r
 }
--- a/internal/compare/rolloutcompare/traffic.go
+++ b/internal/compare/rolloutcompare/traffic.go
@@ -112,7 +112,8 @@
 	firstNew  time.Duration // first request to the new version
 	crossed   time.Duration // when all evidence together crossed its bound
 	cutAt     time.Duration
-	zero      time.Duration // first time with zero share everywhere after crossing
+	zero      time.Duration // first time with zero share everywhere after the cut
+	reached   time.Duration // the same for the daemons that are not cut off
 	inForce   time.Duration // when all reachable daemons knew done
 	final     time.Duration // when the first daemon knew a final phase
 	lastJudge time.Duration
@@ -143,7 +144,10 @@
 			o.crossed = w.at
 		}
 	}
-	if o.cutAt > 0 && o.zero == 0 && w.zeroShare() {
+	if o.cutAt > 0 && o.reached == 0 && w.zeroShare(false) {
+		o.reached = w.at
+	}
+	if o.cutAt > 0 && o.zero == 0 && w.zeroShare(true) {
 		o.zero = w.at
 	}
 	if o.final == 0 || (o.inForce == 0 && w.at < w.s.deadline) {
@@ -151,10 +155,11 @@
 	}
 }
 
-// zeroShare reports whether no daemon sends requests to the new version.
-func (w *world) zeroShare() bool {
+// zeroShare reports whether no daemon sends requests to the new version; those of
+// a data centre that is cut off count if all is set.
+func (w *world) zeroShare(all bool) bool {
 	for _, n := range w.nodes {
-		if n.alive() && n.shares.Pick(service, 0) == newName {
+		if n.alive() && (all || !w.isolated(n.centre)) && n.shares.Pick(service, 0) == newName {
 			return false
 		}
 	}
@@ -178,11 +183,11 @@
 	}
 }
 
-// toZero is the time from the crossing to zero share. It is 0 when a data centre
-// cut on its own evidence before all evidence together crossed the bound.
-func (o *watch) toZero() time.Duration {
-	if o.crossed == 0 || o.zero == 0 {
+// since is the time from the crossing to at. It is 0 when a data centre cut on its
+// own evidence before all evidence together crossed the bound.
+func (o *watch) since(at time.Duration) time.Duration {
+	if o.crossed == 0 || at == 0 {
 		return 0
 	}
-	return max(o.zero-o.crossed, 0)
+	return max(at-o.crossed, 0)
 }
--- a/rollout/group.go
+++ b/rollout/group.go
@@ -97,7 +97,7 @@
 	if m.version == 0 || e.Attempt != m.row.Attempt || !meantFor(e.Origin, g.fence) {
 		return
 	}
-	if _, _, held := g.keeper.Held(g.c.config.Now()); !held {
+	if g.fence == 0 {
 		return
 	}
 	if m.tally == nil {
@@ -113,7 +113,7 @@
 	nextRead := g.nextRead
 	g.c.mu.Unlock()
 	if _, _, held := g.keeper.Held(now); !held && now.Before(nextRead) {
-		return nextRead.Sub(now)
+		return min(nextRead.Sub(now), g.actWithoutLease(ctx))
 	}
 	readErr := g.read(ctx)
 	if !g.needed() {
@@ -121,7 +121,7 @@
 	}
 	if !g.hold(ctx) {
 		g.note(readErr)
-		return g.restFor(watchEvery)
+		return min(g.restFor(watchEvery), g.actWithoutLease(ctx))
 	}
 	// Without the store the holder decides on the last rows that it read: it can
 	// still cut.
@@ -254,6 +254,23 @@
 	return pause
 }
 
+// actWithoutLease judges the evidence of a term that has ended.
+func (g *group) actWithoutLease(ctx context.Context) time.Duration {
+	g.c.mu.Lock()
+	var states []*moveState
+	for _, m := range g.moves {
+		if m.tally != nil {
+			states = append(states, m)
+		}
+	}
+	g.c.mu.Unlock()
+	pause := restEvery
+	for _, m := range states {
+		pause = min(pause, g.actOn(ctx, m))
+	}
+	return pause
+}
+
 func (g *group) actOn(ctx context.Context, m *moveState) time.Duration {
 	g.c.config.Hook(BeforeDecide)
 	for _, action := range g.decide(m) {
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -144,7 +144,7 @@
 // Next implements Policy.
 func (m *Machine) Next(in *Input) []Action {
 	if !in.Lease.Held {
-		return wait("the lease is not held")
+		return m.withoutLease(in)
 	}
 	if starts(in) {
 		return m.start(in)
@@ -174,6 +174,17 @@
 	}
 }
 
+// withoutLease cuts on the evidence of a term that has ended: any daemon may cut,
+// and while the store is down nobody else has the evidence of all data centres.
+func (m *Machine) withoutLease(in *Input) []Action {
+	if in.RowVersion != 0 && in.Cut == "" {
+		if v := m.judge(in); v.Bad {
+			return []Action{CutShare{Move: in.Row.Move, Attempt: in.Row.Attempt, Reason: v.Reason}}
+		}
+	}
+	return wait("the lease is not held")
+}
+
 // starts reports whether a new attempt is to be recorded.
 func starts(in *Input) bool {
 	if in.RowVersion == 0 {
--- a/rollout/machine_test.go
+++ b/rollout/machine_test.go
@@ -108,3 +108,15 @@
 	in.Cut = "errors"
 	assert.Equal(t, m.Next(in)[0].(WriteRow).Row.Phase, Reversed)
 }
+
+// Guards against evidence that is ignored once the lease has ended, and against
+// anything but a cut without the lease.
+func TestWithoutLeaseOnlyCuts(t *testing.T) {
+	in := &Input{Now: start, Move: testMove(time.Minute), Row: testRow(Shifting, 5000), RowVersion: 5}
+	m := &Machine{Options: DefaultOptions(), Judge: fixedJudge{Verdict{Bad: true, Reason: "errors"}}}
+	assert.DeepEqual(t, m.Next(in), []Action{CutShare{Move: "m", Attempt: 1, Reason: "errors"}})
+	m.Judge = fixedJudge{Verdict{Good: true}}
+	in.Now = start.Add(4 * time.Minute)
+	_, waits := m.Next(in)[0].(Wait)
+	assert.Assert(t, waits)
+}
--- a/rollout/pool.go
+++ b/rollout/pool.go
@@ -30,6 +30,12 @@
 	}
 }
 
+// familyTotal is the old version's answers since the start in a stratum of a family.
+type familyTotal struct {
+	key stratum
+	old Counts
+}
+
 // pool is one comparison: the new version's answers in a stratum and what the old
 // version would have done with the same mix of targets and load levels.
 type pool struct {
@@ -42,100 +48,107 @@
 	expected float64
 }
 
+// active is a stratum with answers of the new version in the span.
+type active struct {
+	pair  *pair
+	fresh Counts
+}
+
 // snapshot is the tally over one span of time.
 type snapshot struct {
-	slot  int64
-	fresh map[stratum]Counts
-	// old holds the old version's answers since the start, by family.
-	old [families]map[stratum]Counts
-	// recentOld holds its answers within the window; nil for the whole attempt.
-	recentOld map[stratum]Counts
+	tally  *Tally
+	slot   int64
+	length time.Duration // 0 is the whole attempt
+	active []active
+}
+
+// baseline is the old version's answers for a stratum; matched is false when the
+// old version was not seen at this load level.
+type baseline struct {
+	old     trials
+	matched bool
 }
 
 func newSnapshot(t *Tally, now time.Time, length time.Duration) *snapshot {
-	s := &snapshot{slot: t.slot(now), fresh: make(map[stratum]Counts, len(t.pairs))}
-	for family := range families {
-		s.old[family] = make(map[stratum]Counts)
-	}
-	if length > 0 {
-		s.recentOld = make(map[stratum]Counts)
-	}
-	for key, p := range t.pairs {
+	s := &snapshot{tally: t, slot: t.slot(now), length: length, active: t.scratch[:0]}
+	for _, p := range t.pairs {
 		fresh := p.new
 		if length > 0 {
-			var old Counts
-			old, fresh = p.recent(s.slot, length)
-			s.recentOld[key] = old
+			if p.newest <= s.slot-int64(length/slot) {
+				continue
+			}
+			_, fresh = p.recent(s.slot, length)
 		}
 		if fresh.Requests > 0 {
-			s.fresh[key] = fresh
-		}
-		for family := range families {
-			wide := project(family, key)
-			c := s.old[family][wide]
-			c.add(p.old)
-			s.old[family][wide] = c
+			s.active = append(s.active, active{pair: p, fresh: fresh})
 		}
 	}
+	t.scratch = s.active
 	return s
 }
 
 // everyRouteSeen reports whether the new version answered on every route on which
 // the old one did often.
 func (s *snapshot) everyRouteSeen() bool {
-	seen := make(map[string]bool)
-	for key := range s.fresh {
-		seen[key.route] = true
+	seen := make(map[int]bool)
+	for i := range s.active {
+		seen[s.active[i].pair.parents[byRoute]] = true
 	}
-	for key, old := range s.old[byRoute] {
-		if !seen[key.route] && old.Requests >= trusted {
+	for i := range s.tally.totals[byRoute] {
+		if !seen[i] && s.tally.totals[byRoute][i].old.Requests >= trusted {
 			return false
 		}
 	}
 	return true
 }
 
-// baseline returns the old version's answers for a stratum: its own, or those of
-// the route at the same load, or those of the route. matched is false when the
-// old version was not seen at this load level.
-func (s *snapshot) baseline(key stratum, m *metric) (old trials, matched bool) {
-	for _, family := range []int{byAll, byLoad} {
-		c := s.old[family][project(family, key)]
+// baselines returns for each active stratum its own old answers, or those of the
+// route at the same load, or those of the route.
+func (s *snapshot) baselines(m *metric) []baseline {
+	out := make([]baseline, len(s.active))
+	for i := range s.active {
+		out[i] = s.tally.baseline(s.active[i].pair, m)
+	}
+	return out
+}
+
+func (t *Tally) baseline(p *pair, m *metric) baseline {
+	for _, family := range [...]int{byAll, byLoad} {
+		c := &t.totals[family][p.parents[family]].old
 		if c.Requests >= trusted {
-			return trials{n: c.Requests, k: m.of(c)}, true
+			return baseline{trials{n: c.Requests, k: m.of(*c)}, true}
 		}
 	}
-	c := s.old[byRoute][project(byRoute, key)]
-	return trials{n: c.Requests, k: m.of(c)}, false
+	c := &t.totals[byRoute][p.parents[byRoute]].old
+	return baseline{old: trials{n: c.Requests, k: m.of(*c)}}
 }
 
-// pools returns the comparisons of one family. Strata without a matching load
-// level are compared on their own, and left out of the pools over load levels.
-func (s *snapshot) pools(family int, m *metric) map[stratum]*pool {
-	pools := make(map[stratum]*pool)
-	for key, fresh := range s.fresh {
-		old, matched := s.baseline(key, m)
-		if !matched && m.perLoad && family != byLoad && family != byAll {
+// pools returns the comparisons of one family, indexed like the tally's totals;
+// those without answers of the new version are empty, and n counts the others.
+// Strata without a matching load level are compared on their own, and left out of
+// the pools over load levels.
+func (s *snapshot) pools(family int, m *metric, bases []baseline) (pools []pool, n int) {
+	pools = make([]pool, len(s.tally.totals[family]))
+	for i := range s.active {
+		a := &s.active[i]
+		if !bases[i].matched && m.perLoad && family != byLoad && family != byAll {
 			continue
 		}
-		wide := project(family, key)
-		p := pools[wide]
-		if p == nil {
-			p = &pool{matched: true}
-			pools[wide] = p
+		p := &pools[a.pair.parents[family]]
+		if p.fresh.n == 0 {
+			p.matched = true
+			n++
 		}
-		p.matched = p.matched && matched
-		p.add(old, trials{n: fresh.Requests, k: m.of(fresh)}, m)
-	}
-	for key, p := range pools {
+		p.matched = p.matched && bases[i].matched
+		p.add(bases[i].old, trials{n: a.fresh.Requests, k: m.of(a.fresh)}, m)
 		// Strata may share a baseline, which does not make more answers of it.
-		limit := s.old[byRoute][project(byRoute, key)].Requests
+		limit := s.tally.totals[byRoute][a.pair.parents[byRoute]].old.Requests
 		if family == byVersion {
-			limit = s.old[byVersion][stratum{}].Requests
+			limit = s.tally.totals[byVersion][0].old.Requests
 		}
 		p.finish(limit + m.assumed.n)
 	}
-	return pools
+	return pools, n
 }
 
 // add adds a stratum. The old rate is weighted by the new version's answers, so
@@ -186,11 +199,12 @@
 // beside compares with the old version's answers in the same window, so that an
 // incident that hits both versions is not held against the new one. Without
 // enough of them the comparison says nothing and the ratio is unbounded.
-func (s *snapshot) beside(family int, key stratum, p *pool, m *metric) float64 {
+func (s *snapshot) beside(family, index int, p *pool, m *metric) float64 {
 	var old Counts
-	for k, c := range s.recentOld {
-		if project(family, k) == key {
-			old.add(c)
+	for _, pair := range s.tally.pairs {
+		if pair.parents[family] == index {
+			recent, _ := pair.recent(s.slot, s.length)
+			old.add(recent)
 		}
 	}
 	if old.Requests < trusted {
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -110,38 +110,39 @@
 	var v Verdict
 	for _, sp := range spans {
 		s := newSnapshot(tally, now, sp.length)
-		for m := range metrics {
-			t.judgeBad(&v, s, sp, &metrics[m])
+		good := sp.length == 0 && len(s.active) > 0 && s.everyRouteSeen()
+		for i := range metrics {
+			m := &metrics[i]
+			bases := s.baselines(m)
+			t.judgeBad(&v, s, sp, m, bases)
 			if v.Bad {
 				return v
 			}
+			good = good && t.judgeGood(s, m, bases, next)
 		}
-		if sp.length == 0 {
-			v.Good = t.judgeGood(s, next)
-		}
+		v.Good = v.Good || good
 	}
 	return v
 }
 
 // judgeBad compares the versions in all strata of all families.
-func (t *Test) judgeBad(v *Verdict, s *snapshot, sp span, m *metric) {
+func (t *Test) judgeBad(v *Verdict, s *snapshot, sp span, m *metric, bases []baseline) {
 	for family := range families {
-		pools := s.pools(family, m)
+		pools, n := s.pools(family, m, bases)
 		// Every comparison gets the same part of the family's error probability.
-		split := math.Log(float64(len(metrics) * families * max(len(pools), 1)))
+		split := math.Log(float64(len(metrics) * families * max(n, 1)))
 		limit := split - math.Log(t.Alpha*sp.part) + s.restartCost(sp)
 		caution := split - math.Log(suspicion)
-		for key, p := range pools {
+		for i := range pools {
+			p := &pools[i]
 			ratio := p.badRatio(m)
-			if s.recentOld != nil && ratio > caution {
-				ratio = math.Min(ratio, s.beside(family, key, p, m))
-			}
-			if ratio > caution {
-				v.Suspicious = true
+			if ratio > caution && sp.length > 0 {
+				ratio = math.Min(ratio, s.beside(family, i, p, m))
 			}
+			v.Suspicious = v.Suspicious || ratio > caution
 			if ratio > limit {
 				v.Bad = true
-				v.Reason = reason(family, key, p, m, sp)
+				v.Reason = reason(family, s.tally.totals[family][i].key, p, m, sp)
 				return
 			}
 		}
@@ -159,19 +160,15 @@
 
 // judgeGood reports whether every route with new answers rules out harm at the
 // next share.
-func (t *Test) judgeGood(s *snapshot, next uint32) bool {
-	routes := 0
-	for m := range metrics {
-		pools := s.pools(byRoute, &metrics[m])
-		limit := math.Log(float64(len(metrics)*max(len(pools), 1)) / t.Beta)
-		for _, p := range pools {
-			if p.goodRatio(&metrics[m], next) < limit {
-				return false
-			}
-			routes++
+func (t *Test) judgeGood(s *snapshot, m *metric, bases []baseline, next uint32) bool {
+	pools, n := s.pools(byRoute, m, bases)
+	limit := math.Log(float64(len(metrics)*max(n, 1)) / t.Beta)
+	for i := range pools {
+		if pools[i].fresh.n > 0 && pools[i].goodRatio(m, next) < limit {
+			return false
 		}
 	}
-	return routes > 0 && s.everyRouteSeen()
+	return n > 0 || m.perLoad
 }
 
 func reason(family int, key stratum, p *pool, m *metric, sp span) string {
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -58,7 +58,10 @@
 
 // pair holds the counts of both versions in one stratum.
 type pair struct {
-	old, new   Counts
+	old, new Counts
+	// parents are the indices of the strata that hold this one, by family.
+	parents    [families]int
+	newest     int64 // slot of the newest answer of the new version
 	recentOld  [slots]Counts
 	recentNew  [slots]Counts
 	recentSlot [slots]int64
@@ -68,15 +71,23 @@
 type Tally struct {
 	From, To string
 	epoch    time.Time
-	pairs    map[stratum]*pair
+	pairs    []*pair
+	index    map[stratum]*pair
+	totals   [families][]familyTotal
+	places   [families]map[stratum]int // indices into totals
 	origins  map[string]*seenSequences
+	scratch  []active
 }
 
 // NewTally returns an empty tally for a move between two versions.
 func NewTally(from, to string) *Tally {
-	return &Tally{
-		From: from, To: to, pairs: make(map[stratum]*pair), origins: make(map[string]*seenSequences),
+	t := &Tally{
+		From: from, To: to, index: make(map[stratum]*pair), origins: make(map[string]*seenSequences),
 	}
+	for family := range families {
+		t.places[family] = make(map[stratum]int)
+	}
+	return t
 }
 
 // Merge adds evidence that arrived at now. It reports false when the message was
@@ -117,16 +128,40 @@
 		return
 	}
 	key := stratum{route: c.Route, target: c.Target, load: c.Load}
-	p := t.pairs[key]
-	if p == nil {
-		p = &pair{}
-		t.pairs[key] = p
-	}
-	p.add(t.slot(now), c.Version == t.To, Counts{
+	p := t.pair(key)
+	counts := Counts{
 		Requests: float64(c.Requests),
 		Errors:   float64(min(c.Errors, c.Requests)),
 		Slow:     float64(min(c.Slow, c.Requests)),
-	})
+	}
+	p.add(t.slot(now), c.Version == t.To, counts)
+	if c.Version == t.To {
+		return
+	}
+	for family := range families {
+		t.totals[family][p.parents[family]].old.add(counts)
+	}
+}
+
+// pair returns the counts of a stratum and enters it into all families.
+func (t *Tally) pair(key stratum) *pair {
+	if p := t.index[key]; p != nil {
+		return p
+	}
+	p := &pair{}
+	for family := range families {
+		wide := project(family, key)
+		place, ok := t.places[family][wide]
+		if !ok {
+			place = len(t.totals[family])
+			t.places[family][wide] = place
+			t.totals[family] = append(t.totals[family], familyTotal{key: wide})
+		}
+		p.parents[family] = place
+	}
+	t.index[key] = p
+	t.pairs = append(t.pairs, p)
+	return p
 }
 
 // slot numbers the slot of now; 0 is never used.
@@ -142,6 +177,7 @@
 		p.recentNew[i] = Counts{}
 	}
 	if isNew {
+		p.newest = s
 		p.new.add(c)
 		p.recentNew[i].add(c)
 		return
