Measure added times, CPU and memory per token, request and stream

marjorambench measure speed compares the direct path, the naive scheduler and marjoramflow. The stand-in engine can stamp its tokens, so that the time on the way does not depend on the engine's decode steps.

--- a/bench/internal/caller/caller.go
+++ b/bench/internal/caller/caller.go
@@ -44,8 +44,13 @@
 	FirstToken time.Duration
 	Total      time.Duration
 	// Gaps are the times between tokens.
-	Gaps       []time.Duration
-	Tokens     int
+	Gaps   []time.Duration
+	Tokens int
+	// OnTheWay is the time of the first token outside the engine: from the caller
+	// to the engine and back. Transits are the times of tokens from the engine to
+	// the caller. Both need an engine that stamps its tokens.
+	OnTheWay   time.Duration
+	Transits   []time.Duration
 	RetryAfter time.Duration
 	// Body is the answer of a plain service.
 	Body string
@@ -167,14 +172,17 @@
 			return r
 		}
 		now := time.Now()
-		content, err := parseEvent(data, &r)
+		token, err := parseEvent(data, &r)
 		if err != nil {
 			return r
 		}
-		if content == "" {
+		if token.Content == "" {
 			continue
 		}
-		text.WriteString(content)
+		text.WriteString(token.Content)
+		if token.Emitted != 0 {
+			r.stamp(token, started, now)
+		}
 		r.Tokens++
 		if r.FirstToken == 0 {
 			r.FirstToken = now.Sub(started)
@@ -190,30 +198,43 @@
 // errEnded ends the reading of a stream; the result says why.
 var errEnded = errors.New("stream ended")
 
-func parseEvent(data string, r *Result) (string, error) {
+// token is the delta of one event.
+type token struct {
+	Content           string `json:"content"`
+	Received, Emitted int64
+}
+
+// stamp records the times that an engine wrote into a token.
+func (r *Result) stamp(t token, started, now time.Time) {
+	transit := now.Sub(time.Unix(0, t.Emitted))
+	if r.Tokens == 0 {
+		r.OnTheWay = time.Unix(0, t.Received).Sub(started) + transit
+	}
+	r.Transits = append(r.Transits, transit)
+}
+
+func parseEvent(data string, r *Result) (token, error) {
 	var event struct {
 		errorBody
 		Choices []struct {
-			Delta struct {
-				Content string `json:"content"`
-			} `json:"delta"`
+			Delta token `json:"delta"`
 		} `json:"choices"`
 	}
 	if err := json.Unmarshal([]byte(data), &event); err != nil {
 		r.Outcome = Wrong
 		r.Message = err.Error()
-		return "", errEnded
+		return token{}, errEnded
 	}
 	if event.Error != nil {
 		r.Outcome = Failed
 		r.Code = event.Error.Code
 		r.Message = event.Error.Message
-		return "", errEnded
+		return token{}, errEnded
 	}
 	if len(event.Choices) == 0 {
-		return "", nil
+		return token{}, nil
 	}
-	return event.Choices[0].Delta.Content, nil
+	return event.Choices[0].Delta, nil
 }
 
 // Plain describes a call of a plain service.
--- a/bench/internal/cli/measure.go
+++ b/bench/internal/cli/measure.go
@@ -9,7 +9,7 @@
 
 func measureCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "measure", Short: "Run measurements and print tables"}
-	cmd.AddCommand(goodputCommand())
+	cmd.AddCommand(goodputCommand(), speedCommand())
 	return cmd
 }
 
@@ -34,3 +34,27 @@
 	flags.Float64Var(&o.Skew, "skew", o.Skew, "part of the requests that one daemon gets")
 	return cmd
 }
+
+func speedCommand() *cobra.Command {
+	o := measure.DefaultSpeed
+	cmd := &cobra.Command{
+		Use:   "speed",
+		Short: "Added time, CPU and memory per token, request and stream",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			programs, err := cluster.Beside()
+			if err != nil {
+				return err
+			}
+			return measure.Speed(cmd.Context(), programs, o, cmd.OutOrStdout())
+		},
+	}
+	flags := cmd.Flags()
+	flags.DurationVar(&o.Duration, "duration", o.Duration, "duration of each load")
+	flags.StringSliceVar(&o.Variants, "variants", o.Variants, "variants to measure")
+	flags.StringVar(&o.Profile, "profile", "", "existing directory for a CPU profile of the daemon")
+	flags.IntVar(&o.Engines, "engines", o.Engines, "number of stand-in engines")
+	flags.IntVar(&o.Streams, "streams", o.Streams, "streams open at full load")
+	flags.Float64Var(&o.Rate, "rate", o.Rate, "tokens per second at half load")
+	flags.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the requests")
+	return cmd
+}
--- a/bench/internal/cli/standin.go
+++ b/bench/internal/cli/standin.go
@@ -63,6 +63,7 @@
 	flags.IntVar(&config.Speed.KVTokens, "kv-tokens", 64000, "size of the KV cache in tokens")
 	flags.DurationVar(&config.Lag, "lag", 2*time.Second, "delay of load reports and cache events")
 	flags.Float64Var(&config.EventLoss, "event-loss", 0.02, "share of cache events that are lost")
+	flags.BoolVar(&config.Stamp, "stamp", false, "write the times of receipt and emission into each token")
 	flags.Uint64Var(&config.Seed, "seed", 1, "seed of the event loss")
 	return cmd
 }
--- a/bench/internal/cluster/cluster.go
+++ b/bench/internal/cluster/cluster.go
@@ -121,6 +121,7 @@
 			"--decode-sequence", e.DecodePer.String(),
 			"--batch", fmt.Sprint(e.Batch),
 			"--kv-tokens", fmt.Sprint(e.KVTokens),
+			fmt.Sprintf("--stamp=%t", e.Stamp),
 			"--seed", fmt.Sprint(len(c.Engines)+1))
 		if err != nil {
 			return err
@@ -171,12 +172,21 @@
 		if err := c.writeSettings(path, name, dc, m); err != nil {
 			return err
 		}
-		m.Process = newProcess(c.Dir, name, c.Programs.Daemon, "--settings", path)
+		m.Process = c.daemonProcess(name, path)
+		m.environment = c.Spec.DaemonEnvironment
 		c.Daemons = append(c.Daemons, m)
 	}
 	return nil
 }
 
+func (c *Cluster) daemonProcess(name, path string) *Process {
+	if c.Spec.Profile == "" {
+		return newProcess(c.Dir, name, c.Programs.Daemon, "--settings", path)
+	}
+	profile := filepath.Join(c.Spec.Profile, name+".cpu")
+	return newProcess(c.Dir, name, c.Programs.Bench, "daemon", "--settings", path, "--cpu-profile", profile)
+}
+
 // daemonSettings mirrors the settings file; secrets are plain here, since the
 // settings package hides them when it writes.
 type daemonSettings struct {
--- a/bench/internal/cluster/process.go
+++ b/bench/internal/cluster/process.go
@@ -15,9 +15,11 @@
 	Name    string
 	program string
 	args    []string
-	logPath string
-	cmd     *exec.Cmd
-	done    chan error
+	// environment is added to that of this program.
+	environment []string
+	logPath     string
+	cmd         *exec.Cmd
+	done        chan error
 }
 
 func newProcess(dir, name, program string, args ...string) *Process {
@@ -32,6 +34,7 @@
 	}
 	defer log.Close()
 	p.cmd = exec.Command(p.program, p.args...)
+	p.cmd.Env = append(os.Environ(), p.environment...)
 	p.cmd.Stdout = log
 	p.cmd.Stderr = log
 	// Children end with the program that started them, also when that one crashes.
--- a/bench/internal/cluster/spec.go
+++ b/bench/internal/cluster/spec.go
@@ -20,6 +20,11 @@
 	// MoreVersions are versions beside the first of each service.
 	MoreVersions []object.Version
 	Moves        []object.Move
+	// DaemonEnvironment is added to the environment of daemons and naive schedulers.
+	DaemonEnvironment []string
+	// Profile is a directory for CPU profiles of the daemons; empty makes none. The
+	// daemons then run inside marjorambench and write their profile when they stop.
+	Profile string
 	// Loaded are the models that engines have loaded at start.
 	Loaded []string
 }
@@ -42,6 +47,8 @@
 	DecodeBase    time.Duration
 	DecodePer     time.Duration
 	ChecksFencing bool
+	// Stamp makes the engine write times into each token.
+	Stamp bool
 }
 
 // Names of the services and versions of every cluster.
--- a/bench/internal/cluster/usage.go
+++ b/bench/internal/cluster/usage.go
@@ -19,7 +19,16 @@
 
 // Usage reads the use of the process from /proc.
 func (p *Process) Usage() (Usage, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	return usage(p.PID(), p.Name)
+}
+
+// SelfUsage returns the use of the running program.
+func SelfUsage() (Usage, error) {
+	return usage(os.Getpid(), "self")
+}
+
+func usage(pid int, name string) (Usage, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return Usage{}, err
 	}
@@ -28,7 +37,7 @@
 	fields := strings.Fields(rest)
 	const userField, systemField, residentField = 11, 12, 21
 	if len(fields) <= residentField {
-		return Usage{}, fmt.Errorf("process %s: %d fields in stat", p.Name, len(fields))
+		return Usage{}, fmt.Errorf("process %s: %d fields in stat", name, len(fields))
 	}
 	var user, system, pages int64
 	for i, value := range map[int]*int64{userField: &user, systemField: &system, residentField: &pages} {
--- a/bench/load/run.go
+++ b/bench/load/run.go
@@ -32,6 +32,9 @@
 	First *hdrhistogram.Histogram
 	Gaps  *hdrhistogram.Histogram
 	Total *hdrhistogram.Histogram
+	// OnTheWay and Transit are in microseconds; see caller.Result.
+	OnTheWay *hdrhistogram.Histogram
+	Transit  *hdrhistogram.Histogram
 }
 
 func newSummary(class, tier string) *Summary {
@@ -42,6 +45,8 @@
 		First:    hdrhistogram.New(1, histogramMax, histogramDigits),
 		Gaps:     hdrhistogram.New(1, histogramMax, histogramDigits),
 		Total:    hdrhistogram.New(1, histogramMax, histogramDigits),
+		OnTheWay: hdrhistogram.New(1, histogramMax, histogramDigits),
+		Transit:  hdrhistogram.New(1, histogramMax, histogramDigits),
 	}
 }
 
@@ -124,6 +129,12 @@
 	for _, gap := range r.Gaps {
 		record(s.Gaps, gap)
 	}
+	if len(r.Transits) > 0 {
+		record(s.OnTheWay, r.OnTheWay)
+	}
+	for _, transit := range r.Transits {
+		record(s.Transit, transit)
+	}
 	if r.FirstToken <= class.FirstToken && r.Total <= class.Total {
 		s.Good++
 		return
@@ -161,4 +172,6 @@
 	s.First.Merge(other.First)
 	s.Gaps.Merge(other.Gaps)
 	s.Total.Merge(other.Total)
+	s.OnTheWay.Merge(other.OnTheWay)
+	s.Transit.Merge(other.Transit)
 }
--- a/bench/standin/engine/server.go
+++ b/bench/standin/engine/server.go
@@ -33,7 +33,10 @@
 	Seed uint64
 	// OnCrash is called when a request with the crash mark arrives; the default
 	// drops all connections and refuses calls for CrashTime.
-	OnCrash   func()
+	OnCrash func()
+	// Stamp writes the times of receipt and emission into each token's delta, so
+	// that a caller on the same machine can tell the time on the way.
+	Stamp     bool
 	CrashTime time.Duration
 }
 
@@ -256,6 +259,9 @@
 type delta struct {
 	Role    string `json:"role,omitempty"`
 	Content string `json:"content,omitempty"`
+	// Received and Emitted are set with Config.Stamp, in nanoseconds since 1970.
+	Received int64 `json:"received,omitempty"`
+	Emitted  int64 `json:"emitted,omitempty"`
 }
 
 type choice struct {
@@ -281,6 +287,7 @@
 }
 
 func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
 	var in request
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -305,7 +312,7 @@
 	}
 	seq := s.submit(id, in, prompt)
 	defer s.batch.cancel(seq)
-	stream := &streamWriter{w: w, r: r, s: s, seq: seq, id: id, model: in.Model, hash: xxhash.Sum64String(prompt)}
+	stream := &streamWriter{w: w, r: r, s: s, seq: seq, id: id, model: in.Model, hash: xxhash.Sum64String(prompt), received: received}
 	if in.Stream {
 		stream.events()
 		return
--- a/bench/standin/engine/stream.go
+++ b/bench/standin/engine/stream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/marjoramflow/marjoramflow/bench/standin/faults"
 )
@@ -18,6 +19,8 @@
 	id    string
 	model string
 	hash  uint64
+	// received is when the request came in.
+	received time.Time
 }
 
 // next returns the next token index; ok is false at the end of the answer. It
@@ -77,12 +80,17 @@
 
 // send writes one chunk. The last chunk carries the usage.
 func (t *streamWriter) send(id string, index int, text string, finish *string) {
+	d := &delta{Content: text}
+	if t.s.config.Stamp {
+		d.Received = t.received.UnixNano()
+		d.Emitted = time.Now().UnixNano()
+	}
 	c := chunk{
 		ID:         id,
 		Object:     "chat.completion.chunk",
 		Model:      t.model,
 		TokenIndex: index,
-		Choices:    []choice{{Delta: &delta{Content: text}, FinishReason: finish}},
+		Choices:    []choice{{Delta: d, FinishReason: finish}},
 	}
 	if finish != nil {
 		c.Usage = t.usage()
