--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -141,6 +141,7 @@
 			Incarnation: d.incarnation,
 		},
 		VMs:    d.vms,
+		Seeds:  seeds(s.Seeds),
 		Logger: d.logger,
 		OnLive: d.onLive,
 		OnGone: d.onGone,
@@ -168,6 +169,14 @@
 	return nil
 }
 
+func seeds(list []settings.Seed) []peer.Address {
+	out := make([]peer.Address, len(list))
+	for i, s := range list {
+		out[i] = peer.Address{Name: s.Name, Address: s.Address, DataCentre: s.DataCentre}
+	}
+	return out
+}
+
 func tlsFiles(t settings.TLS) *peer.TLSFiles {
 	if t.Certificate == "" {
 		return nil
@@ -284,7 +293,13 @@
 		OnLost:   func(target string, ran []uint64) { d.suspects.TargetLost(target, ran) },
 		Logger:   d.logger,
 	})
-	d.owners = owners.New(d.settings.Name, d.mesh, d.probes.Lost)
+	d.owners = owners.New(owners.Config{
+		Self:   d.settings.Name,
+		Sender: d.mesh,
+		OnLost: d.probes.Lost,
+		Trial:  d.trial,
+		Logger: d.logger,
+	})
 	d.grants = grants.New(grants.Config{
 		Self:        d.settings.Name,
 		Sender:      d.mesh,
@@ -416,7 +431,7 @@
 	defer cancelDuties()
 	group, groupCtx := errgroup.WithContext(duties)
 	for _, duty := range d.duties() {
-		group.Go(func() error { return duty(groupCtx) })
+		group.Go(func() error { return d.runDuty(groupCtx, duty) })
 	}
 	group.Go(func() error { return d.frontend.Serve(d.callers) })
 	d.logger.Emit(eventlog.DaemonStarted, eventlog.Fields{
@@ -438,6 +453,15 @@
 	return err
 }
 
+// runDuty runs one duty; its error ends the daemon.
+func (d *Daemon) runDuty(ctx context.Context, duty func(context.Context) error) error {
+	err := duty(ctx)
+	if err != nil {
+		d.logger.EmitError(eventlog.DutyFailed, err, nil)
+	}
+	return err
+}
+
 // duties are the goroutines of the daemon.
 func (d *Daemon) duties() []func(context.Context) error {
 	return []func(context.Context) error{
@@ -461,12 +485,9 @@
 func (d *Daemon) stop(ctx context.Context) error {
 	d.stopping.Store(true)
 	d.logger.Emit(eventlog.DaemonStopping, eventlog.Fields{"open": d.frontend.Open()})
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Limits.Shutdown)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Limits.Drain+d.settings.Limits.Shutdown)
 	defer cancel()
 	d.members.Leave(ctx)
-	pause(ctx, balancerDelay)
+	pause(ctx, d.settings.Limits.Drain)
 	return d.frontend.Shutdown(ctx)
 }
-
-// balancerDelay is the time in which the balancer notices that readiness is off.
-const balancerDelay = 2 * time.Second
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -1,9 +1,6 @@
 package estimate
 
-import (
-	"math/bits"
-	"time"
-)
+import "time"
 
 const (
 	// DefaultPrefillRate is the prefill rate in tokens/s before any observation.
@@ -24,6 +21,14 @@
 	// trusted enough to refuse a request on its account.
 	settledSamples = 8
 
+	// SpreadQuantile is the quantile of actual to predicted time by which a
+	// prediction is stretched to be kept by nearly all requests.
+	SpreadQuantile = 0.9
+	// defaultSpread applies before the first observation, maxSpread bounds it, so
+	// that a faulty engine does not make every deadline look hopeless.
+	defaultSpread = 1.2
+	maxSpread     = 2
+
 	batchBuckets = 10
 	maxEngines   = 256
 	maxOutputs   = 8192
@@ -37,14 +42,11 @@
 
 type engineKey struct{ version, hardware string }
 
-type outputKey struct{ service, account string }
-
-// engine holds the estimates of one version on one hardware generation.
-type engine struct {
-	prefill tracker
-	plain   tracker
-	decode  [batchBuckets]tracker
-	samples int
+// outputKey names an output estimate; account "" is the whole service. Bounded
+// ones are parts of the stated bound, others lengths in tokens.
+type outputKey struct {
+	service, account string
+	bounded          bool
 }
 
 // New returns a model with defaults only.
@@ -67,54 +69,54 @@
 	Plain bool
 }
 
-// Prediction is a pair of times since dispatch to an engine with a free slot.
+// Prediction is the expected course of a job.
 type Prediction struct {
+	// FirstToken and Finish are times since dispatch to an engine with a free
+	// slot.
 	FirstToken time.Duration
 	Finish     time.Duration
+	// Spread is the factor by which Finish is stretched so that nearly all
+	// requests of the version and hardware generation keep it; at least 1.
+	Spread float64
+	// Settled says that enough was observed to refuse work on this prediction.
+	Settled bool
 }
 
-// Predict returns the expected times of a job.
+// Predict returns the expected course of a job.
 func (m *Model) Predict(job Job) Prediction {
+	e := m.engines[engineKey{job.Version, job.Hardware}]
+	p := Prediction{Spread: e.spreadFactor(), Settled: e.settled()}
 	if job.Plain {
-		d := m.plainTime(job.Version, job.Hardware)
-		return Prediction{FirstToken: d, Finish: d}
+		p.FirstToken = e.plainTime()
+		p.Finish = p.FirstToken
+		return p
 	}
-	first := m.PrefillTime(job.Version, job.Hardware, job.PrefillTokens)
-	decode := m.TokenTime(job.Version, job.Hardware, job.Batch) * time.Duration(max(job.OutputTokens, 1))
-	return Prediction{FirstToken: first, Finish: first + decode}
+	p.FirstToken = e.prefillTime(job.PrefillTokens)
+	p.Finish = p.FirstToken + e.tokenTime(job.Batch)*time.Duration(max(job.OutputTokens, 1))
+	return p
 }
 
 // PrefillTime returns the time to prefill a number of tokens.
 func (m *Model) PrefillTime(version, hardware string, tokens int) time.Duration {
-	rate := float64(DefaultPrefillRate)
-	if e := m.engines[engineKey{version, hardware}]; e != nil && e.prefill.samples > 0 {
-		rate = e.prefill.value()
-	}
-	return time.Duration(float64(max(tokens, 0)) / rate * float64(time.Second))
+	return m.engines[engineKey{version, hardware}].prefillTime(tokens)
 }
 
 // TokenTime returns the time per output token at a batch size.
 func (m *Model) TokenTime(version, hardware string, batch int) time.Duration {
-	usual := defaultTokenTime(batch)
-	e := m.engines[engineKey{version, hardware}]
-	if e == nil {
-		return usual
-	}
-	at := batchBucket(batch)
-	for distance := range batchBuckets {
-		for _, i := range [2]int{at - distance, at + distance} {
-			if i >= 0 && i < batchBuckets && e.decode[i].samples > 0 {
-				return time.Duration(float64(usual) * e.decode[i].value())
-			}
-		}
-	}
-	return usual
+	return m.engines[engineKey{version, hardware}].tokenTime(batch)
 }
 
 // Settled reports whether enough was observed to refuse work on a prediction.
 func (m *Model) Settled(version, hardware string) bool {
-	e := m.engines[engineKey{version, hardware}]
-	return e != nil && e.samples >= settledSamples
+	return m.engines[engineKey{version, hardware}].settled()
+}
+
+// ObserveSpread compares the time that a request took with the prediction made
+// when it was dispatched.
+func (m *Model) ObserveSpread(version, hardware string, predicted, actual time.Duration) {
+	if predicted > 0 {
+		m.engine(engineKey{version, hardware}).spread.observe(float64(actual)/float64(predicted), SpreadQuantile)
+	}
 }
 
 // Observation is what one finished request showed.
@@ -152,35 +154,49 @@
 }
 
 // OutputTokens returns the expected output of an account on a service, at most
-// maxTokens; maxTokens 0 is no bound.
+// maxTokens, the bound that the caller stated; 0 is no bound. Where callers
+// state a bound, the usual part of the bound is predicted, because accounts that
+// mix short and long requests state fitting bounds; a constant bound gives the
+// usual length. An unknown account takes the values of the whole service.
 func (m *Model) OutputTokens(service, account string, maxTokens int) int {
-	expected := DefaultOutputTokens
-	if q := m.outputs[outputKey{service, account}]; q != nil {
-		expected = int(q.value() + 0.5)
+	bounded := maxTokens > 0
+	q := m.outputs[outputKey{service, account, bounded}]
+	if q == nil || q.samples < settledSamples {
+		if whole := m.outputs[outputKey{service, "", bounded}]; whole != nil {
+			q = whole
+		}
 	}
-	if maxTokens > 0 {
-		expected = min(expected, maxTokens)
+	switch {
+	case !bounded && q == nil:
+		return DefaultOutputTokens
+	case !bounded:
+		return max(int(q.value()+0.5), 1)
+	case q == nil:
+		return max(maxTokens/2, 1)
 	}
-	return max(expected, 1)
+	return max(min(int(q.value()*float64(maxTokens)+0.5), maxTokens), 1)
 }
 
 // ObserveOutput corrects the expected output of an account on a service.
-func (m *Model) ObserveOutput(service, account string, tokens int) {
-	key := outputKey{service, account}
+// Requests that were cut off count as well if they exceeded their prediction;
+// leaving them out would make long answers look shorter than they are.
+func (m *Model) ObserveOutput(service, account string, maxTokens, tokens int) {
+	value := float64(tokens)
+	if maxTokens > 0 {
+		value /= float64(maxTokens)
+	}
+	m.output(outputKey{service, account, maxTokens > 0}).observe(value, OutputQuantile)
+	m.output(outputKey{service, "", maxTokens > 0}).observe(value, OutputQuantile)
+}
+
+func (m *Model) output(key outputKey) *quantile {
 	q := m.outputs[key]
 	if q == nil {
 		makeRoom(m.outputs, maxOutputs)
 		q = &quantile{}
 		m.outputs[key] = q
 	}
-	q.observe(float64(tokens), OutputQuantile)
-}
-
-func (m *Model) plainTime(version, hardware string) time.Duration {
-	if e := m.engines[engineKey{version, hardware}]; e != nil && e.plain.samples > 0 {
-		return time.Duration(e.plain.value() * float64(time.Second))
-	}
-	return DefaultPlainTime
+	return q
 }
 
 func (m *Model) engine(key engineKey) *engine {
@@ -204,11 +220,3 @@
 		return
 	}
 }
-
-func defaultTokenTime(batch int) time.Duration {
-	return DefaultTokenTime + time.Duration(max(batch, 1)-1)*DefaultTokenTimeSlope
-}
-
-func batchBucket(batch int) int {
-	return min(bits.Len(uint(max(batch, 1)))-1, batchBuckets-1)
-}
--- a/owner/predict.go
+++ b/owner/predict.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/admission"
 	"github.com/marjoramflow/marjoramflow/estimate"
 )
 
@@ -67,6 +68,75 @@
 	})
 }
 
+// optimism is the part of a prediction that a request hardly undercuts.
+const optimism = 0.8
+
+// neededOn returns the times that a request needs on a target with a full batch:
+// almost certainly, and at best. Both are zero while the estimates are too young.
+func (g *Group) neededOn(j *job, t *target) (sure, best time.Duration) {
+	p := g.fullBatch(&j.request, t)
+	if !p.Settled {
+		return 0, 0
+	}
+	return time.Duration(float64(p.Finish) * p.Spread), time.Duration(float64(p.Finish) * optimism)
+}
+
+// fastest returns the time that a request needs on the fastest target of a mask.
+func (g *Group) fastest(j *job, mask uint64) time.Duration {
+	need := time.Duration(-1)
+	for _, t := range g.targets {
+		if t.bit&mask == 0 {
+			continue
+		}
+		if sure, _ := g.neededOn(j, t); need < 0 || sure < need {
+			need = sure
+		}
+	}
+	return max(need, 0)
+}
+
+// chance says how likely a waiting request that starts now ends in time.
+type chance int
+
+const (
+	likely   chance = iota // almost certainly, on some target
+	possible               // at best
+	hopeless               // not even then
+)
+
+// narrow returns the class of a request that starts now at the earliest. Targets
+// on which it ends late even at best are left out, and those on which it might
+// end late are only possible ones.
+func (g *Group) narrow(now time.Time, j *job) (admission.Class, chance) {
+	class := g.classOf(&j.request)
+	left := j.request.Deadline.Sub(now)
+	up, surely, hopeful := uint64(0), uint64(0), uint64(0)
+	for _, t := range g.targets {
+		if t.state == Up {
+			up |= t.bit
+		}
+		if t.bit&class.Targets == 0 {
+			continue
+		}
+		sure, best := g.neededOn(j, t)
+		if sure <= left {
+			surely |= t.bit
+		}
+		if best <= left {
+			hopeful |= t.bit
+		}
+	}
+	if hopeful&up == 0 {
+		return class, hopeless
+	}
+	class.Targets, class.Possible = surely, hopeful
+	if surely&up == 0 {
+		class.Targets = hopeful
+		return class, possible
+	}
+	return class, likely
+}
+
 // anyHolds reports whether the prompt fits into the KV cache of some target.
 func (g *Group) anyHolds(r *Request, usable uint64) bool {
 	for _, t := range g.targets {
@@ -124,8 +194,29 @@
 	return true
 }
 
-// predictWait returns the time until a new request gets a target.
-func (g *Group) predictWait(j *job, usable uint64) time.Duration {
+// predictWait returns the time until a new request gets a target. The corrected
+// value takes into account how far earlier predictions for the tier were off.
+func (g *Group) predictWait(j *job, usable uint64) (plain, corrected time.Duration) {
+	plain = g.queueWait(j, usable)
+	return plain, time.Duration(float64(plain) * g.waitRatio(j).Value())
+}
+
+// observeWait compares the wait of a request that was granted or refused with
+// the prediction. Waits of less than minWaitSample say little about the queue.
+func (g *Group) observeWait(now time.Time, j *job) {
+	const minWaitSample = 100 * time.Millisecond
+	if j.wait >= minWaitSample {
+		g.waitRatio(j).Observe(j.wait.Seconds(), now.Sub(j.item.Arrived).Seconds())
+		j.wait = 0
+	}
+}
+
+func (g *Group) waitRatio(j *job) *estimate.Ratio {
+	return &g.waits[j.request.Tier][admission.WorkBucket(j.item.Work)]
+}
+
+// queueWait predicts a wait from the work ahead and the speed of the targets.
+func (g *Group) queueWait(j *job, usable uint64) time.Duration {
 	ahead := g.queue.Ahead(j.request.Tier, j.request.Account, j.item.Class, j.item.Work)
 	if free, _ := g.places(); ahead == 0 && free&usable != 0 {
 		return 0
@@ -147,8 +238,13 @@
 	return time.Duration(float64(work) / rate)
 }
 
-// observe corrects the estimates with what a finished request showed.
-func (g *Group) observe(j *job, report Report) {
+// observe corrects the estimates with what a request showed.
+func (g *Group) observe(now time.Time, j *job, report Report) {
+	hardware := j.target.info.Hardware
+	predicted, actual := j.finish.Sub(j.granted), now.Sub(j.granted)
+	if report.Outcome == OutcomeDone || (stopped(report.Outcome) && actual > predicted) {
+		g.options.Model.ObserveSpread(j.request.Version, hardware, predicted, actual)
+	}
 	if report.Outcome != OutcomeDone || report.Duration <= 0 {
 		return
 	}
@@ -159,7 +255,7 @@
 	g.options.Model.Observe(estimate.Observation{
 		Job: estimate.Job{
 			Version:       version,
-			Hardware:      j.target.info.Hardware,
+			Hardware:      hardware,
 			PrefillTokens: max(report.PromptTokens-report.CachedTokens, 0),
 			OutputTokens:  report.OutputTokens,
 			Batch:         min((j.batch+len(j.target.running)+1)/2, max(j.target.info.Slots, 1)),
@@ -171,3 +267,9 @@
 		Duration:   report.Duration,
 	})
 }
+
+// stopped reports whether a request was ended before its answer was complete,
+// while its target worked.
+func stopped(o Outcome) bool {
+	return o == OutcomeCanceled || o == OutcomeTimeout
+}
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/marjoramflow/marjoramflow/admission"
 )
 
 // victimTimeout is the time that the entry of a victim gets to stop it before
@@ -55,11 +53,10 @@
 	return t.info.KVTokens == 0 || t.kv-t.stoppingKV-kv+t.need(&j.request) <= t.info.KVTokens
 }
 
-// preemptFor stops lower-tier work on one target until j has room there. The
-// first victim decides the target: work that has not finished its prefill comes
+// preemptFor stops lower-tier work on one usable target until j has room there.
+// The first victim decides the target: work that has not finished its prefill comes
 // first, then the lowest tier, then the newest.
-func (g *Group) preemptFor(now time.Time, j *job) {
-	usable := j.item.Class.Targets
+func (g *Group) preemptFor(now time.Time, j *job, usable uint64) {
 	var first *job
 	for _, t := range g.targets {
 		if t.bit&usable == 0 || !g.canMakeRoom(t, j) {
@@ -97,21 +94,21 @@
 	return g.preempting == 0
 }
 
-// rescue returns the request for which work was preempted, if it may go before
-// item: it has the same tier and can use a free target. The freed place is extra
-// room, so the others of its tier lose nothing.
-func (g *Group) rescue(item *admission.Item[*job], free, exclusive uint64) *job {
+// rescue returns the first request of a tier for which work was preempted and
+// the free targets that it can use, or nil. The freed place is extra room, so the
+// others of its tier lose nothing.
+func (g *Group) rescue(tier int, free, exclusive uint64) (*job, uint64) {
 	g.rescued = slices.DeleteFunc(g.rescued, func(j *job) bool { return !j.item.Waiting() && !j.aside })
 	for _, j := range g.rescued {
-		usable := j.item.Class.Targets & free
+		usable := j.item.Class.Possible & free
 		if j.request.Suspect {
 			usable &= exclusive
 		}
-		if usable != 0 && j.item.Tier == item.Tier && !j.aside {
-			return j
+		if usable != 0 && j.item.Tier == tier && !j.aside {
+			return j, usable
 		}
 	}
-	return item.Value
+	return nil, 0
 }
 
 func (g *Group) preempt(victim *job) {
