Wire configuration sync, the store client, account limits and the link budget

Cause: daemons polled the configuration row each on their own, client account limits were not applied, and requests to another region were unbounded.

Change: publication, polling by two daemons per data centre, push and pull through confsync; all store calls go through one budget with breaker; limits of client accounts are divided by demand; requests that leave the region take bytes of the link first.

--- a/confsync/publisher.go
+++ b/confsync/publisher.go
@@ -184,3 +184,20 @@
 		return false
 	}
 }
+
+// ErrNoGeneration is returned by Read for a generation that was never published
+// or is older than the history.
+var ErrNoGeneration = errors.New("generation does not exist")
+
+// Read returns the set of a generation, as far back as the history reaches.
+func (p *Publisher) Read(ctx context.Context, generation uint64) (*object.Set, error) {
+	row, _, err := readRow(ctx, p.table)
+	if err != nil {
+		return nil, err
+	}
+	then, ok := row.at(generation)
+	if !ok {
+		return nil, fault.Wrap(ErrNoGeneration, "config.read", "")
+	}
+	return readSet(ctx, p.objects, p.codec, then)
+}
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -163,6 +163,7 @@
 			Tier:              a.Tier,
 			RequestsPerSecond: a.RequestsPerSecond,
 			TokensPerSecond:   a.TokensPerSecond,
+			Portion:           b.daemon.limits.portion(a.Name),
 		}
 		for _, c := range counts {
 			if c.Account != a.Name {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marjoramflow/marjoramflow/adminapi"
+	"github.com/marjoramflow/marjoramflow/confsync"
 	"github.com/marjoramflow/marjoramflow/engine"
 	"github.com/marjoramflow/marjoramflow/entry"
 	"github.com/marjoramflow/marjoramflow/estimate"
@@ -34,6 +35,7 @@
 	"github.com/marjoramflow/marjoramflow/provider/httpplatform"
 	"github.com/marjoramflow/marjoramflow/rollout"
 	"github.com/marjoramflow/marjoramflow/settings"
+	"github.com/marjoramflow/marjoramflow/store"
 )
 
 // Daemon holds the parts of one daemon.
@@ -41,29 +43,35 @@
 	settings *settings.Settings
 	logger   *eventlog.Logger
 
+	// table and objects share the daemon's budget of store calls.
 	table   platform.Table
 	objects platform.Objects
+	store   *store.Client
 	weights platform.Weights
 	vms     platform.VMList
 
-	places   *places
-	shares   *rollout.Shares
-	mesh     *peer.Mesh
-	members  *members.Duty
-	owners   *owners.Duty
-	grants   *grants.Client
-	probes   *probes.Duty
-	suspects *suspects.Duty
-	keys     *idempotency.Claims
-	moves    *moves.Duty
-	metrics  *metrics.Registry
-	lengths  *lengths
-	peers    *peerViews
-	states   *targetStates
-	admin    *adminapi.Server
-	engines  *engine.Client
-	entry    *entry.Entry
-	frontend *frontend.Server
+	places    *places
+	shares    *rollout.Shares
+	mesh      *peer.Mesh
+	members   *members.Duty
+	owners    *owners.Duty
+	grants    *grants.Client
+	probes    *probes.Duty
+	suspects  *suspects.Duty
+	keys      *idempotency.Claims
+	config    *confsync.Syncer
+	publisher *confsync.Publisher
+	limits    *limits
+	link      link
+	moves     *moves.Duty
+	metrics   *metrics.Registry
+	lengths   *lengths
+	peers     *peerViews
+	states    *targetStates
+	admin     *adminapi.Server
+	engines   *engine.Client
+	entry     *entry.Entry
+	frontend  *frontend.Server
 
 	callers     net.Listener
 	operators   net.Listener
@@ -91,6 +99,7 @@
 	if err := d.openMesh(); err != nil {
 		return nil, err
 	}
+	d.buildConfig()
 	d.buildSharing()
 	d.buildScheduling()
 	d.buildFrontend()
@@ -123,8 +132,17 @@
 	if err != nil {
 		return err
 	}
-	d.table = table
-	d.objects = httpplatform.Objects{Client: objects}
+	d.store = store.New(store.Config{
+		Table:   table,
+		Objects: httpplatform.Objects{Client: objects},
+		Limits: store.Limits{
+			ReadsPerSecond:  d.settings.Limits.StoreReads,
+			WritesPerSecond: d.settings.Limits.StoreWrites,
+		},
+		Logger: d.logger,
+	})
+	d.table = d.store
+	d.objects = d.store.Objects()
 	d.weights = weights
 	d.vms = httpplatform.VMs{Client: vms}
 	return nil
@@ -192,13 +210,15 @@
 		Table:     d.table,
 		Logger:    d.logger,
 	})
+	d.limits = newLimits(d.settings.Name, d.mesh.Send, d.places.everyone)
+	d.link = newLink()
 	d.keys = idempotency.New(d.table, idempotency.Options{})
 	d.moves = moves.New(moves.Config{
 		Self:        d.settings.Name,
 		Incarnation: d.incarnation,
 		Send:        d.mesh.Send,
 		Broadcast:   d.broadcast,
-		Live:        func() []string { return d.places.liveIn(d.settings.DataCentre) },
+		Live:        d.liveHere,
 		Everyone:    d.places.everyone,
 		DataCentres: maxDataCentres,
 		Table:       d.table,
@@ -304,7 +324,7 @@
 		Self:        d.settings.Name,
 		Sender:      d.mesh,
 		Places:      d.places,
-		Link:        unlimitedLink{},
+		Link:        d.link,
 		Unreachable: d.members.Unreachable,
 	})
 	d.entry = entry.New(entry.Config{
@@ -324,7 +344,7 @@
 	d.frontend = frontend.New(frontend.Config{
 		Limits:   d.settings.Limits,
 		Runner:   d.entry,
-		Limiter:  noLimiter{},
+		Limiter:  d.limits,
 		Lengths:  d.lengths,
 		Recorder: recorder{registry: d.metrics},
 		Logger:   d.logger,
@@ -347,6 +367,12 @@
 	return !d.stopping.Load() && d.places.Index() != nil
 }
 
+// liveHere returns the live daemons of the own data centre.
+func (d *Daemon) liveHere() []string {
+	live, _ := d.places.liveIn(d.settings.DataCentre)
+	return live
+}
+
 func (d *Daemon) generation() uint64 {
 	if index := d.places.Index(); index != nil {
 		return index.Generation
@@ -357,6 +383,8 @@
 // onMessage hands a frame to the duty that it belongs to.
 func (d *Daemon) onMessage(from string, m *peerpb.Envelope) {
 	d.peers.onMessage(from, m)
+	d.onConfigMessage(from, m)
+	d.limits.onMessage(from, m)
 	handled := d.members.OnMessage(from, m) ||
 		d.owners.OnMessage(from, m) ||
 		d.grants.OnMessage(from, m) ||
@@ -369,6 +397,7 @@
 	if up {
 		d.grants.SessionUp(name)
 		d.moves.SessionUp(name)
+		d.config.PeerGeneration(name, hello.Generation)
 	} else {
 		d.grants.SessionLost(name)
 	}
@@ -389,6 +418,7 @@
 func (d *Daemon) install(generation uint64, set *object.Set) {
 	d.places.setIndex(object.NewIndex(generation, set))
 	d.moves.SetConfig(set)
+	d.limits.setConfig(set)
 	d.placesChanged()
 	d.logger.Emit(eventlog.ConfigInForce, eventlog.Fields{"generation": generation})
 }
@@ -396,7 +426,8 @@
 // placesChanged tells the duties that groups or owners changed.
 func (d *Daemon) placesChanged() {
 	local := d.places.Local()
-	d.owners.SetPlaces(local, d.places.liveCount(d.settings.DataCentre))
+	d.owners.SetPlaces(local, len(d.liveHere()))
+	d.link.setDaemons(d.places.liveInRegion())
 	d.grants.PlacesChanged()
 	var owned []*object.Target
 	for _, g := range local.OwnedBy(d.settings.Name) {
@@ -477,7 +508,8 @@
 		d.sweepKeys,
 		d.rotateMetrics,
 		func(ctx context.Context) error { return d.admin.Serve(ctx, d.operators) },
-		d.pollConfig,
+		d.config.Run,
+		d.limits.run,
 	}
 }
 
--- a/daemon/places.go
+++ b/daemon/places.go
@@ -16,10 +16,12 @@
 	dataCentre string
 	region     string
 
-	mu       sync.Mutex
-	index    *object.Index
-	live     map[string][]string
-	snapshot atomic.Pointer[placesSnapshot]
+	mu    sync.Mutex
+	index *object.Index
+	live  map[string][]string
+	// liveVersion counts changes of the live lists.
+	liveVersion uint64
+	snapshot    atomic.Pointer[placesSnapshot]
 }
 
 type placesSnapshot struct {
@@ -51,6 +53,7 @@
 		return false
 	}
 	p.live[dataCentre] = daemons
+	p.liveVersion++
 	p.rebuild(&dataCentre)
 	return true
 }
@@ -143,18 +146,28 @@
 	return index.Target(name)
 }
 
-// liveCount returns the number of live daemons of a data centre.
-func (p *places) liveCount(dataCentre string) int {
+// liveIn returns the live daemons of a data centre, with a number that changes
+// whenever a list changes.
+func (p *places) liveIn(dataCentre string) ([]string, uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.live[dataCentre])
+	return slices.Clone(p.live[dataCentre]), p.liveVersion
 }
 
-// liveIn returns the live daemons of a data centre.
-func (p *places) liveIn(dataCentre string) []string {
+// liveInRegion returns the number of live daemons of the own region.
+func (p *places) liveInRegion() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Clone(p.live[dataCentre])
+	if p.index == nil {
+		return len(p.live[p.dataCentre])
+	}
+	count := 0
+	for dataCentre, names := range p.live {
+		if dataCentre == p.dataCentre || p.index.RegionOf(dataCentre) == p.region {
+			count += len(names)
+		}
+	}
+	return count
 }
 
 // everyone returns the live daemons of all data centres, in name order.
--- a/internal/grants/client.go
+++ b/internal/grants/client.go
@@ -41,7 +41,8 @@
 
 // Link is the byte budget of the paid link between regions.
 type Link interface {
-	Take(tier int, bytes int) bool
+	// Take asks for the bytes of a prompt, and of its answer in the other direction.
+	Take(tier, promptBytes, answerBytes int) bool
 }
 
 // Config holds the parts of a Client. All are required.
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -84,18 +84,27 @@
 	case stageNearby:
 		return c.remoteChoices(c.Places.Nearby(), need)
 	}
-	if !c.Link.Take(need.Tier, linkBytes(need)) {
-		return nil
-	}
-	return c.remoteChoices(c.Places.Far(), need)
+	return c.farChoices(need)
 }
 
-// linkBytes estimates what a request moves over the link: the prompt, and each
-// token of the answer in its own event.
-func linkBytes(need *entry.Need) int {
-	const bytesPerPromptToken = 4
-	const bytesPerEvent = 250
-	return need.PromptTokens*bytesPerPromptToken + need.OutputTokens*bytesPerEvent
+// Sizes on the link: the prompt as text, and each token of the answer in its own
+// event.
+const (
+	bytesPerPromptToken = 4
+	bytesPerEvent       = 250
+)
+
+// farChoices returns groups of other regions, when there are any and the byte
+// budget of the link allows it.
+func (c *Client) farChoices(need *entry.Need) []choice {
+	choices := c.remoteChoices(c.Places.Far(), need)
+	if len(choices) == 0 {
+		return nil
+	}
+	if !c.Link.Take(need.Tier, need.PromptTokens*bytesPerPromptToken, need.OutputTokens*bytesPerEvent) {
+		return nil
+	}
+	return choices
 }
 
 // localChoices returns at most two groups: the one that likely holds the prefix
--- a/settings/check.go
+++ b/settings/check.go
@@ -255,6 +255,8 @@
 	c.positive("limits.bodyBytes", float64(l.BodyBytes))
 	c.positive("limits.headerBytes", float64(l.HeaderBytes))
 	c.positive("limits.openRequests", float64(l.OpenRequests))
+	c.positive("limits.storeReads", l.StoreReads)
+	c.positive("limits.storeWrites", l.StoreWrites)
 	c.duration("limits.headerTimeout", l.HeaderTimeout)
 	c.duration("limits.idleTimeout", l.IdleTimeout)
 	c.duration("limits.drain", l.Drain)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -88,6 +88,11 @@
 	Shutdown time.Duration `yaml:"shutdown"`
 	// OpenRequests bounds the requests held at once; more are refused.
 	OpenRequests int `yaml:"openRequests"`
+	// StoreReads and StoreWrites bound the daemon's calls of the table service and
+	// the object store together, per second. All daemons together must stay within
+	// what the platform gives.
+	StoreReads  float64 `yaml:"storeReads"`
+	StoreWrites float64 `yaml:"storeWrites"`
 }
 
 // Log sets the format and the level of the log.
@@ -106,6 +111,10 @@
 	defaultDrain         = 2 * time.Second
 	defaultShutdown      = 60 * time.Second
 	defaultOpenRequests  = 4096
+	// Eight daemons of a small deployment then use at most 240 of several hundred
+	// writes and 480 of two thousand reads a second.
+	defaultStoreReads  = 60
+	defaultStoreWrites = 30
 )
 
 // Default returns settings with every bound at its default.
@@ -119,6 +128,8 @@
 			Drain:         defaultDrain,
 			Shutdown:      defaultShutdown,
 			OpenRequests:  defaultOpenRequests,
+			StoreReads:    defaultStoreReads,
+			StoreWrites:   defaultStoreWrites,
 		},
 		Log: Log{Level: "info", Format: "json"},
 	}
