--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -129,3 +129,21 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc + m.StackInuse
 }
+
+// BenchmarkIdleSessions measures what idle sessions cost their hub and its peers:
+// bytes on the wire and CPU time per second and end of a session.
+func BenchmarkIdleSessions(b *testing.B) {
+	const sessions, duration = 100, 5 * time.Second
+	ca := newAuthority(b)
+	hub := benchTLSNode(b, ca, "hub")
+	for i := range sessions {
+		connect(b, benchTLSNode(b, ca, "peer"+string(rune('a'+i/26))+string(rune('a'+i%26))), hub)
+	}
+	before, cpu, start := hub.Stats(), cpuTime(b), time.Now()
+	waitIdle := time.NewTimer(duration)
+	<-waitIdle.C
+	ends := 2 * sessions * time.Since(start).Seconds()
+	b.ReportMetric(float64(hub.Stats().WireOut-before.WireOut)/ends*2, "wire-out-B/s/end")
+	b.ReportMetric(float64((cpuTime(b)-cpu).Microseconds())/ends, "cpu-us/s/end")
+	b.ReportMetric(0, "ns/op")
+}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -11,9 +11,11 @@
 	silenceLimit = 3 * time.Second
 	// pingInterval is the time without sent messages after which a ping is sent.
 	pingInterval = time.Second
+	// pingGrid is what the times of pings are rounded to.
+	pingGrid = 250 * time.Millisecond
 	// acceptorPingDelay lets the daemon that dialled ping first, so that an
 	// idle session carries one ping and one pong a second and not two of each.
-	acceptorPingDelay = 250 * time.Millisecond
+	acceptorPingDelay = 500 * time.Millisecond
 )
 
 // wireConn bounds the time of each read and write and counts the bytes on the
--- a/peer/write.go
+++ b/peer/write.go
@@ -29,7 +29,7 @@
 // for each other.
 func (s *session) write() error {
 	w := &sender{session: s, lastSent: s.since, lastTold: s.since, generation: s.mesh.config.Generation()}
-	timer := time.NewTimer(w.interval())
+	timer := time.NewTimer(w.untilPing())
 	defer timer.Stop()
 	for {
 		var err error
@@ -40,7 +40,7 @@
 			err = w.sendPong(sequence)
 		case <-timer.C:
 			err = w.sendPingWhenDue()
-			timer.Reset(max(time.Until(w.lastSent.Add(w.interval())), minBackoff))
+			timer.Reset(w.untilPing())
 		case <-s.drain:
 			return w.sendRest()
 		case <-s.closed:
@@ -52,6 +52,14 @@
 	}
 }
 
+// untilPing returns the time until a ping may be due. It is rounded to a grid of
+// the clock, so that the pings of all sessions, and their answers, are handled
+// together: waking the process up for each of them costs more than the ping.
+func (w *sender) untilPing() time.Duration {
+	due := w.lastSent.Add(w.interval()).Round(pingGrid)
+	return max(time.Until(due), pingGrid/2)
+}
+
 func (w *sender) interval() time.Duration {
 	if w.session.dialled {
 		return pingInterval
@@ -98,9 +106,9 @@
 // sendPingWhenDue pings an idle session, and a busy one when the peer has not
 // been told the current generation.
 func (w *sender) sendPingWhenDue() error {
-	idle := time.Since(w.lastSent) >= w.interval()
+	idle := time.Since(w.lastSent) >= w.interval()-pingGrid/2
 	behind := w.generation != w.session.mesh.config.Generation()
-	if !idle && (!behind || time.Since(w.lastTold) < pingInterval) {
+	if !idle && (!behind || time.Since(w.lastTold) < pingInterval-pingGrid/2) {
 		return nil
 	}
 	w.noteTold()
