--- a/internal/modelcheck/move_model_test.go
+++ b/internal/modelcheck/move_model_test.go
@@ -386,16 +386,3 @@
 		phase: w.Row.Phase, attempt: int8(w.Row.Attempt), share: w.Row.Share > 0, fence: w.Row.Fence,
 	}, true
 }
-
-// broken adds the invariant that no two processes hold the lease at once.
-func (m *moveModel) broken(s state) string {
-	if s.broken != "" {
-		return s.broken
-	}
-	_, _, a := s.procs[0].lease.Held(at(s.now))
-	_, _, b := s.procs[1].lease.Held(at(s.now))
-	if a && b {
-		return "two processes hold the lease at once"
-	}
-	return ""
-}
--- a/internal/modelcheck/move_test.go
+++ b/internal/modelcheck/move_test.go
@@ -8,6 +8,19 @@
 	"gotest.tools/v3/assert"
 )
 
+// broken adds the invariant that no two processes hold the lease at once.
+func (m *moveModel) broken(s state) string {
+	if s.broken != "" {
+		return s.broken
+	}
+	_, _, a := s.procs[0].lease.Held(at(s.now))
+	_, _, b := s.procs[1].lease.Held(at(s.now))
+	if a && b {
+		return "two processes hold the lease at once"
+	}
+	return ""
+}
+
 func explore(g guards, b bounds, limit int) Result {
 	m := &moveModel{g: g, b: b}
 	return Explore(Model[state]{Initial: m.initial(b), Steps: m.steps, Broken: m.broken}, limit)
