--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -190,15 +190,24 @@
 }
 
 // AddEvidence takes in evidence for moves that this daemon holds; other evidence
-// is dropped.
+// is dropped. It cuts a bad version by itself while Run waits for the store.
 func (c *Controller) AddEvidence(e *Evidence) {
+	for _, cut := range c.addEvidence(e) {
+		c.Cut(cut.Move, cut.Attempt, cut.Reason)
+	}
+}
+
+func (c *Controller) addEvidence(e *Evidence) []CutShare {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var cuts []CutShare
 	for _, g := range c.groups {
 		if m := g.moves[e.Move]; m != nil {
 			g.addEvidence(m, e)
+			cuts = append(cuts, g.cuts(m)...)
 		}
 	}
+	return cuts
 }
 
 // Cut sets the share of an attempt to zero for good and tells the peers unless
--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -288,3 +289,36 @@
 	assert.Equal(t, m.Evidence.Cells[0].Requests, uint32(20))
 	assert.Assert(t, meantFor(m.Evidence.Origin, 2) && !meantFor(m.Evidence.Origin, 1))
 }
+
+// hangingTable answers nothing while it hangs.
+type hangingTable struct {
+	platform.Table
+	hangs atomic.Bool
+}
+
+func (h *hangingTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if h.hangs.Load() {
+		<-ctx.Done()
+		return nil, platform.ErrUnavailable
+	}
+	return h.Table.Get(ctx, keys...)
+}
+
+// Guards against a cut that waits for a store that does not answer.
+func TestCutDoesNotWaitForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		table := &hangingTable{Table: memtable.New()}
+		all := startDaemons(ctx, table, newFleet(1), controllerSet(time.Now().Add(5*time.Minute)), nil)
+		time.Sleep(2 * time.Minute)
+		assert.Assert(t, share(all[0].shares) > 0)
+		table.hangs.Store(true)
+		time.Sleep(800 * time.Millisecond)
+		all[0].controller.AddEvidence(&Evidence{Move: "m", Attempt: 1, Origin: "e", Sequence: 1, Cells: []Cell{
+			{Version: "v1", Route: "r", Requests: 1000}, {Version: "v2", Route: "r", Requests: 50, Errors: 40},
+		}})
+		assert.Equal(t, share(all[0].shares), 0.0)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/rollout/group.go
+++ b/rollout/group.go
@@ -34,6 +34,7 @@
 	targets map[string]*targetState
 	order   []string // target names
 	waiting string
+	decided time.Time // when the policy was last asked
 }
 
 // targetState follows the loading of the new version on one target.
@@ -106,6 +107,21 @@
 	m.tally.Merge(g.c.config.Now(), e)
 }
 
+// cuts returns the cuts that new evidence calls for while the controller's
+// goroutine waits for the store. The caller holds the mutex.
+func (g *group) cuts(m *moveState) []CutShare {
+	if m.tally == nil || g.c.config.Now().Sub(m.decided) < 2*idle {
+		return nil
+	}
+	var out []CutShare
+	for _, action := range g.next(m) {
+		if cut, ok := action.(CutShare); ok {
+			out = append(out, cut)
+		}
+	}
+	return out
+}
+
 // tick reads, decides and acts, and returns how long to wait.
 func (g *group) tick(ctx context.Context) time.Duration {
 	now := g.c.config.Now()
@@ -294,7 +310,13 @@
 func (g *group) decide(m *moveState) []Action {
 	g.c.mu.Lock()
 	defer g.c.mu.Unlock()
+	return g.next(m)
+}
+
+// next asks the policy. The caller holds the mutex.
+func (g *group) next(m *moveState) []Action {
 	now := g.c.config.Now()
+	m.decided = now
 	fence, left, held := g.keeper.Held(now)
 	in := &Input{
 		Now: now, Move: m.move, Row: m.row, RowVersion: m.version, Since: m.since, Evidence: m.tally,
