Ask other groups again after an expired wait in the comparison

Considered: to leave the check at the speed of an idle engine. Ruled out, because it then counted a call that could not have ended in time beside the requests of the full batch.

Change: the entry of the comparison asks the other groups again when a call expires after a wait of 1 s or more; the check counts a wait from the last time the call was queued, and takes the present batch into account.

--- a/internal/compare/engine.go
+++ b/internal/compare/engine.go
@@ -71,9 +71,11 @@
 	}
 }
 
-// bestTime is the time that a call needs on this engine when it is idle.
+// bestTime is the time that a call needs on this engine beside the requests that
+// run there now, if its prefill starts at once.
 func (e *engine) bestTime(c *call) time.Duration {
-	steps := time.Duration(c.output) * (stepBase + stepPerRequest)
+	batch := time.Duration(max(len(e.running), 1))
+	steps := time.Duration(c.output) * (stepBase + batch*stepPerRequest)
 	prefill := time.Duration(c.arrival.request.PromptTokens) * stepPerPrefill
 	return time.Duration(float64(steps+prefill) / e.speed)
 }
--- a/internal/compare/run.go
+++ b/internal/compare/run.go
@@ -16,6 +16,9 @@
 	reportInterval = 500 * time.Millisecond
 	// stopDelay is the time from a Preempt decision to the victim's release.
 	stopDelay = 5 * time.Millisecond
+	// askAgainAfter is the wait in a group after which an entry that is refused
+	// there asks the other groups again, since their load has changed.
+	askAgainAfter = time.Second
 )
 
 // epoch is the start of virtual time.
@@ -38,7 +41,7 @@
 	useful    int
 	firstAt   time.Time
 	endedAt   time.Time
-	// reservedAt is the time at which the call reached its group.
+	// reservedAt is the time since which the call waits in its group.
 	reservedAt time.Time
 	waiting    bool
 	ended      bool
@@ -267,6 +270,7 @@
 	c.preempted++
 	c.stopping = false
 	c.waiting = true
+	c.reservedAt = s.now
 	s.release(c, a, owner.OutcomePreempted)
 }
 
@@ -302,10 +306,11 @@
 		s.shed(c, reason)
 		return
 	}
+	waited := s.now.Sub(c.reservedAt) >= askAgainAfter
 	switch {
 	case c.second >= 0:
 		c.group, c.second = c.second, -1
-	case !c.request.MayPreempt:
+	case !c.request.MayPreempt || waited:
 		c.request.MayPreempt = true
 		c.ladder = s.choose.Preemptible(s.now, c.request.Tier)
 		fallthrough
