Follow a request that has run beyond its deadline

Cause: streams that were preempted ended with an error event when the time at which they were first due had passed; the class of a preempted request was also narrowed by its old deadline.

Ruled out: cutting them at the tier's deadline, since an accepted request has to finish whole.

Change: a request that has run is followed for three times its deadline, and a preempted request takes its final deadline before its targets are chosen.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -32,6 +32,16 @@
 	Deadline     time.Time
 }
 
+// finalFactor stretches the deadline of a request that has run. Its caller may
+// have received a part of the answer, and a preemption must not make the rest
+// impossible; the bound ends requests that make no progress at all.
+const finalFactor = 3
+
+// final is the time until which a request that has run is followed.
+func (r *ChatRequest) final() time.Time {
+	return r.Arrived.Add(finalFactor * r.Deadline.Sub(r.Arrived))
+}
+
 // Sink takes the answer. Frame is called once per token, in order, without gaps
 // or repetitions; its error means that the caller has gone.
 type Sink interface {
@@ -61,7 +71,7 @@
 // Chat runs a request to its end. It returns nil when the whole answer went to
 // the sink, and a *Refusal otherwise; frames may have gone to the sink before.
 func (e *Entry) Chat(ctx context.Context, r *ChatRequest, sink Sink) error {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, r.final())
 	defer cancel()
 	suspect, quarantined := e.checkQuarantine(ctx, r.Fingerprint)
 	if quarantined {
@@ -124,7 +134,7 @@
 func (c *chat) due() time.Time {
 	r := c.request
 	if c.attempts > 0 {
-		return r.Deadline
+		return r.final()
 	}
 	allowed := r.Caller.Tier.FirstToken + time.Duration(r.OutputTokens)*tokenAllowance
 	due := r.Arrived.Add(allowed)
@@ -145,7 +155,7 @@
 		PromptTokens: r.PromptTokens + c.next,
 		OutputTokens: max(1, r.OutputTokens-c.next),
 		Deadline:     c.due(),
-		Final:        r.Deadline,
+		Final:        r.final(),
 		Accepted:     c.attempts > 0,
 		Preemptible:  true,
 		Suspect:      c.suspect,
@@ -160,6 +170,9 @@
 	refusal := AsRefusal(err)
 	if c.attempts > 0 {
 		refusal.Outcome = Unknown
+		if refusal.Code == CodeLate {
+			refusal.Code = CodeDeadline
+		}
 	}
 	return refusal
 }
@@ -305,7 +318,7 @@
 	a.Number = c.failures
 	a.EarlierMayHaveRun = c.failures > 1
 	a.Resumable = true
-	a.Remaining = time.Until(c.request.Deadline)
+	a.Remaining = time.Until(c.request.final())
 	action := c.entry.Retries.Decide(service.Name, a)
 	switch action.Kind {
 	case retry.RetryElsewhere, retry.RetryAfter, retry.Resume:
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -90,9 +90,9 @@
 	j.request.PromptTokens += report.OutputTokens
 	j.request.OutputTokens = max(j.request.OutputTokens-report.OutputTokens, 1)
 	j.request.Target = ""
+	j.accept()
 	j.item.Class, _ = g.narrow(now, j)
 	j.item.Paid = true
-	j.accept()
 	j.item.Work = g.workOf(&j.request, j.item.Class.Targets)
 	if j.item.Class.Targets&g.upMask() == 0 {
 		g.refuse(j, ReasonNoTarget, 0)
