--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -16,6 +16,10 @@
 	passedOver = 8
 	// gossipFanout is the number of peers that a round of gossip goes to.
 	gossipFanout = 3
+	// gossipSessions is the number of sessions in the data centre from which on
+	// gossip opens no further ones. Each idle session costs pings, and a full
+	// mesh of 160 daemons spreads a change no faster (docs/decisions/membership.md).
+	gossipSessions = 12
 	// rumorsPerMessage bounds one message to about 3 KB.
 	rumorsPerMessage = 48
 	// syncMembers is the size of the part of the table that is sent to one
@@ -226,20 +230,27 @@
 	}
 }
 
-// gossipPeers picks random live peers. The last one is a session peer of another
-// data centre when there is one: gossip opens no sessions to other data centres.
+// gossipPeers picks random live peers, of those with a session when they are
+// enough. The last one is a session peer of another data centre when there is
+// one: gossip opens no sessions to other data centres.
 func (t *Table) gossipPeers(count int) []string {
-	var own, other []string
+	var own, connected, other []string
 	for _, name := range t.names() {
 		e := t.entries[name]
 		switch {
 		case name == t.self.Name || !e.isLive():
 		case e.DataCentre == t.self.DataCentre:
 			own = append(own, name)
+			if e.session {
+				connected = append(connected, name)
+			}
 		case e.session:
 			other = append(other, name)
 		}
 	}
+	if len(connected) >= gossipSessions {
+		own = connected
+	}
 	t.random.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
 	remote := 0
 	if len(other) > 0 && (count > 1 || t.random.IntN(gossipFanout) == 0 || len(own) == 0) {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -257,6 +257,11 @@
 		s.run(5 * time.Second)
 	}
 	busy := float64(s.bytes) / daemons / 60
+	sessions := 0
+	for _, name := range s.names {
+		sessions += len(s.nodes[name].sessions)
+	}
+	t.Logf("sessions per daemon: %.1f", float64(sessions)/daemons)
 	t.Logf("without changes: %.0f B/s per daemon; with one restart every 10 s: %.0f B/s", idle, busy)
 	assert.Assert(t, idle < 1000 && busy < 3000)
 }
