--- a/confsync/bench_test.go
+++ b/confsync/bench_test.go
@@ -40,12 +40,12 @@
 	assert.NilError(b, err)
 	s := NewSyncer(Config{})
 	current := &inForce{generation: 1, set: from}
-	b.ReportMetric(float64(len(whole)), "set-B")
-	b.ReportMetric(float64(len(delta)), "delta-B")
 	for b.Loop() {
 		_, err := s.decode(current, dataOf(delta, digest))
 		assert.NilError(b, err)
 	}
+	b.ReportMetric(float64(len(whole)), "set-B")
+	b.ReportMetric(float64(len(delta)), "delta-B")
 }
 
 func dataOf(delta []byte, digest string) *peerpb.ConfigData {
