Measure daemons by their number; show the mesh's totals as a variable

Stand-ins and daemons of a cluster now listen on a loopback host of their own and on ports in turn: ports that the system handed out were given to outgoing connections before their daemon listened.

--- a/bench/internal/cli/measure.go
+++ b/bench/internal/cli/measure.go
@@ -9,7 +9,7 @@
 
 func measureCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "measure", Short: "Run measurements and print tables"}
-	cmd.AddCommand(goodputCommand(), speedCommand())
+	cmd.AddCommand(goodputCommand(), speedCommand(), daemonsCommand())
 	return cmd
 }
 
@@ -58,3 +58,25 @@
 	flags.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the requests")
 	return cmd
 }
+
+func daemonsCommand() *cobra.Command {
+	o := measure.DefaultDaemons
+	cmd := &cobra.Command{
+		Use:   "daemons",
+		Short: "Use of daemons by their number, with fitted lines",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			programs, err := cluster.Beside()
+			if err != nil {
+				return err
+			}
+			return measure.Daemons(cmd.Context(), programs, o, cmd.OutOrStdout())
+		},
+	}
+	flags := cmd.Flags()
+	flags.IntSliceVar(&o.Counts, "counts", o.Counts, "numbers of daemons")
+	flags.DurationVar(&o.Duration, "duration", o.Duration, "duration of each measurement")
+	flags.Float64Var(&o.Rate, "rate", o.Rate, "requests per second and daemon under load")
+	flags.IntVar(&o.Publications, "publications", o.Publications, "publications that are timed")
+	flags.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the requests")
+	return cmd
+}
--- a/bench/internal/cluster/cluster.go
+++ b/bench/internal/cluster/cluster.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -250,12 +251,27 @@
 	return append(all, c.Naive...)
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// Ports are taken in turn from firstPort on. Ports that the system hands out may
+// be given to an outgoing connection or handed out again before their process
+// listens, which happened with a hundred addresses.
+const firstPort = 20000
+
+var lastPort atomic.Int32
+
+// freeAddress returns a loopback address that is free and is not returned again.
+// The host depends on the process id, so that clusters of several programs do not
+// meet; outgoing connections have the host 127.0.0.1.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.1", 64+pid>>8&63, pid&255)
+	var last error
+	for range 100 {
+		address := fmt.Sprintf("%s:%d", host, firstPort+lastPort.Add(1))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+		last = err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", last
 }
--- a/bench/internal/cluster/control.go
+++ b/bench/internal/cluster/control.go
@@ -20,6 +20,11 @@
 
 // call sends one JSON request to a stand-in or a daemon.
 func call(ctx context.Context, method, url string, in, out any) error {
+	return callWith(ctx, method, url, "", in, out)
+}
+
+// callWith sends a request with a bearer token, if it is not empty.
+func callWith(ctx context.Context, method, url, token string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return err
@@ -28,6 +33,9 @@
 	if err != nil {
 		return err
 	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
 	resp, err := controlClient.Do(req)
 	if err != nil {
 		return err
--- /dev/null
+++ b/bench/internal/cluster/stats.go
@@ -0,0 +1,40 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/peer"
+)
+
+// Mesh returns the daemon's totals of messages between daemons.
+func (m *Member) Mesh(ctx context.Context) (peer.Stats, error) {
+	var vars struct {
+		Marjoram struct {
+			Variables struct{ Mesh peer.Stats }
+		}
+	}
+	err := callWith(ctx, http.MethodGet, "http://"+m.Admin+"/debug/vars", OperatorToken, nil, &vars)
+	return vars.Marjoram.Variables.Mesh, err
+}
+
+// TimePublication publishes the set and returns the time from the acceptance
+// until every running daemon reported it as in force.
+func (c *Cluster) TimePublication(ctx context.Context) (time.Duration, error) {
+	admin, err := c.Admin()
+	if err != nil {
+		return 0, err
+	}
+	base, err := admin.Current(ctx)
+	if err != nil {
+		return 0, err
+	}
+	published, err := admin.Publish(ctx, base.Generation, c.Set)
+	if err != nil {
+		return 0, err
+	}
+	started := time.Now()
+	err = c.WaitInForce(ctx, published.Generation, readyTimeout)
+	return time.Since(started), err
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"expvar"
 	"net"
 	"sync/atomic"
 	"time"
@@ -165,6 +166,7 @@
 		return err
 	}
 	d.mesh = mesh
+	d.metrics.Set("mesh", expvar.Func(func() any { return mesh.Stats() }))
 	d.members.SetMesh(mesh)
 	return nil
 }
