--- a/rollout/group.go
+++ b/rollout/group.go
@@ -34,6 +34,7 @@
 	targets map[string]*targetState
 	order   []string // target names
 	waiting string
+	decided time.Time // when the policy was last asked
 }
 
 // targetState follows the loading of the new version on one target.
@@ -97,7 +98,7 @@
 	if m.version == 0 || e.Attempt != m.row.Attempt || !meantFor(e.Origin, g.fence) {
 		return
 	}
-	if _, _, held := g.keeper.Held(g.c.config.Now()); !held {
+	if g.fence == 0 {
 		return
 	}
 	if m.tally == nil {
@@ -106,6 +107,21 @@
 	m.tally.Merge(g.c.config.Now(), e)
 }
 
+// cuts returns the cuts that new evidence calls for while the controller's
+// goroutine waits for the store. The caller holds the mutex.
+func (g *group) cuts(m *moveState) []CutShare {
+	if m.tally == nil || g.c.config.Now().Sub(m.decided) < 2*idle {
+		return nil
+	}
+	var out []CutShare
+	for _, action := range g.next(m) {
+		if cut, ok := action.(CutShare); ok {
+			out = append(out, cut)
+		}
+	}
+	return out
+}
+
 // tick reads, decides and acts, and returns how long to wait.
 func (g *group) tick(ctx context.Context) time.Duration {
 	now := g.c.config.Now()
@@ -113,7 +129,7 @@
 	nextRead := g.nextRead
 	g.c.mu.Unlock()
 	if _, _, held := g.keeper.Held(now); !held && now.Before(nextRead) {
-		return nextRead.Sub(now)
+		return min(nextRead.Sub(now), g.actWithoutLease(ctx))
 	}
 	readErr := g.read(ctx)
 	if !g.needed() {
@@ -121,7 +137,7 @@
 	}
 	if !g.hold(ctx) {
 		g.note(readErr)
-		return g.restFor(watchEvery)
+		return min(g.restFor(watchEvery), g.actWithoutLease(ctx))
 	}
 	// Without the store the holder decides on the last rows that it read: it can
 	// still cut.
@@ -254,6 +270,23 @@
 	return pause
 }
 
+// actWithoutLease judges the evidence of a term that has ended.
+func (g *group) actWithoutLease(ctx context.Context) time.Duration {
+	g.c.mu.Lock()
+	var states []*moveState
+	for _, m := range g.moves {
+		if m.tally != nil {
+			states = append(states, m)
+		}
+	}
+	g.c.mu.Unlock()
+	pause := restEvery
+	for _, m := range states {
+		pause = min(pause, g.actOn(ctx, m))
+	}
+	return pause
+}
+
 func (g *group) actOn(ctx context.Context, m *moveState) time.Duration {
 	g.c.config.Hook(BeforeDecide)
 	for _, action := range g.decide(m) {
@@ -277,7 +310,13 @@
 func (g *group) decide(m *moveState) []Action {
 	g.c.mu.Lock()
 	defer g.c.mu.Unlock()
+	return g.next(m)
+}
+
+// next asks the policy. The caller holds the mutex.
+func (g *group) next(m *moveState) []Action {
 	now := g.c.config.Now()
+	m.decided = now
 	fence, left, held := g.keeper.Held(now)
 	in := &Input{
 		Now: now, Move: m.move, Row: m.row, RowVersion: m.version, Since: m.since, Evidence: m.tally,
