Take the VM list and the hold on mass disappearance into target states

Cause: the daemon ignored leaving marks of the VM list, and package membership's pool of targets was not used.

Ruled out: a second state machine beside it; the probe duty now drives the pool and keeps none of its own.

Change: leaving marks of the list, of the target's answer and of the operator stop new work; a target that vanishes with many others is kept and probed; a removed VM clears the requests that ran on it of suspicion.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -164,7 +164,7 @@
 		Logger: d.logger,
 		OnLive: d.onLive,
 		OnGone: d.onGone,
-		OnList: func([]platform.VM) {},
+		OnList: func(list []platform.VM) { d.probes.SetList(list) },
 	})
 	mesh, err := peer.New(peer.Config{
 		Self: peer.Identity{
@@ -309,11 +309,12 @@
 // buildScheduling builds the owner, grant and probe parts and the entry.
 func (d *Daemon) buildScheduling() {
 	d.probes = probes.New(probes.Config{
-		Prober:   d.engines,
-		OnState:  d.onTargetState,
-		OnLoaded: d.onLoaded,
-		OnLost:   func(target string, ran []uint64) { d.suspects.TargetLost(target, ran) },
-		Logger:   d.logger,
+		Prober:    d.engines,
+		OnState:   d.onTargetState,
+		OnLoaded:  d.onLoaded,
+		OnLost:    func(target string, ran []uint64) { d.suspects.TargetLost(target, ran) },
+		OnRemoved: func(target string) { d.suspects.Exonerate(target) },
+		Logger:    d.logger,
 	})
 	d.owners = owners.New(owners.Config{
 		Self:   d.settings.Name,
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -23,6 +23,7 @@
 	TargetDown          Event = 1401
 	TargetUp            Event = 1402
 	TargetEjected       Event = 1403
+	TargetChanged       Event = 1405
 	TargetReadmitted    Event = 1404
 	MoveChanged         Event = 1501
 	MoveCut             Event = 1502
@@ -52,6 +53,7 @@
 	RequestQuarantined:  {logrus.WarnLevel, "request fingerprint is quarantined"},
 	TargetDown:          {logrus.WarnLevel, "target does not answer its probe"},
 	TargetUp:            {logrus.InfoLevel, "target answers its probe"},
+	TargetChanged:       {logrus.InfoLevel, "target changed its state"},
 	TargetEjected:       {logrus.WarnLevel, "target is ejected on the evidence of its requests"},
 	TargetReadmitted:    {logrus.InfoLevel, "ejected target passed its trials and is used again"},
 	MoveChanged:         {logrus.InfoLevel, "move changed its phase or share"},
--- a/internal/probes/probes.go
+++ b/internal/probes/probes.go
@@ -1,34 +1,39 @@
 // Package probes watches the targets that a daemon owns: a probe a second tells
-// whether a target is up, leaving or down and which versions it has loaded, and
-// a lost connection is checked at once, so that requests which crash targets are
-// told from connections that merely broke.
+// whether a target is up, leaving or down and which versions it has loaded, the
+// VM list tells which targets leave, and a lost connection is checked at once, so
+// that requests which crash targets are told from connections that merely broke.
+//
+// Package membership decides what the evidence means. A large share of the
+// targets that vanishes from the list at once is kept and probed.
 package probes
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marjoramflow/marjoramflow/engine"
 	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/membership"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/owner"
+	"github.com/marjoramflow/marjoramflow/platform"
 	"github.com/marjoramflow/marjoramflow/ring"
 )
 
 const (
-	// probeInterval and probeTimeout bound how long a leaving mark stays unseen.
-	probeInterval = time.Second
-	probeTimeout  = 900 * time.Millisecond
-	// failuresForDown keeps a single lost packet from removing a target.
+	// tickInterval is the precision of probe times.
+	tickInterval = 100 * time.Millisecond
+	// probeTimeout bounds how long a leaving mark stays unseen.
+	probeTimeout = 900 * time.Millisecond
+	// failuresForDown is the number of failed probes that takes a target out.
 	failuresForDown = 3
 	// lossWindow joins the losses of one crash: the attempts on a target break
 	// within this time.
 	lossWindow = 500 * time.Millisecond
-	// suspicionRing bounds losses that wait to be checked.
-	suspicionRing = 256
+	// eventRing bounds the inputs that wait for the duty.
+	eventRing = 4096
 	// parallelProbes bounds open probes.
 	parallelProbes = 16
 )
@@ -39,221 +44,235 @@
 }
 
 // Config holds the parts of a Duty. All are required. The callbacks are called
-// from the duty's goroutines and must not block.
+// from the duty's goroutine and must not block.
 type Config struct {
 	Prober   Prober
 	OnState  func(target string, state owner.TargetState)
 	OnLoaded func(target string, models []string)
 	// OnLost is told the fingerprints that ran on a target when it was lost.
 	OnLost func(target string, fingerprints []uint64)
-	Logger *eventlog.Logger
+	// OnRemoved is told that the platform removed a target's VM.
+	OnRemoved func(target string)
+	Logger    *eventlog.Logger
 }
 
-// Duty probes targets. Its methods are safe for concurrent use.
+// Duty probes targets. Run owns its state; the other methods hand their input to
+// a ring and are safe for concurrent use.
 type Duty struct {
 	Config
-	losses *ring.Ring[loss]
-
-	mu      sync.Mutex
-	targets map[string]*watched
+	events *ring.Ring[func(now time.Time)]
+	table  *membership.Targets
+	// targets are those to watch, by name.
+	targets map[string]*object.Target
+	// list is the last VM list, listed the names that were ever in it.
+	list   []platform.VM
+	listed map[string]bool
+	// losses collects the fingerprints that ran on targets whose connections broke.
+	losses  map[string]map[uint64]bool
+	checkAt time.Time
+	probes  errgroup.Group
 }
 
-// watched is the probe state of one target.
-type watched struct {
-	target   *object.Target
-	failures int
-	state    owner.TargetState
+// New returns a duty without targets.
+func New(config Config) *Duty {
+	d := &Duty{
+		Config:  config,
+		events:  ring.New[func(time.Time)](eventRing),
+		table:   membership.NewTargets(membership.TargetsConfig{}),
+		targets: make(map[string]*object.Target),
+		listed:  make(map[string]bool),
+		losses:  make(map[string]map[uint64]bool),
+	}
+	d.probes.SetLimit(parallelProbes)
+	return d
 }
 
-// loss is an attempt whose connection to the target broke.
-type loss struct {
-	target  string
-	running []owner.Running
+// SetTargets replaces the targets to watch. States of targets that stay are kept.
+func (d *Duty) SetTargets(targets []*object.Target) {
+	d.events.TryPush(func(now time.Time) {
+		d.targets = make(map[string]*object.Target, len(targets))
+		for _, t := range targets {
+			d.targets[t.Name] = t
+		}
+		d.applyList(now)
+	})
 }
 
-// New returns a duty without targets.
-func New(config Config) *Duty {
-	return &Duty{Config: config, losses: ring.New[loss](suspicionRing), targets: make(map[string]*watched)}
+// SetList takes the platform's list of VMs.
+func (d *Duty) SetList(list []platform.VM) {
+	d.events.TryPush(func(now time.Time) {
+		d.list = list
+		for _, vm := range list {
+			if vm.Role == platform.RoleTarget {
+				d.listed[vm.Name] = true
+			}
+		}
+		d.applyList(now)
+	})
 }
 
-// SetTargets replaces the list of targets to probe. States of targets that stay
-// are kept.
-func (d *Duty) SetTargets(targets []*object.Target) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	next := make(map[string]*watched, len(targets))
-	for _, t := range targets {
-		w := d.targets[t.Name]
-		if w == nil {
-			w = &watched{}
+// applyList gives the table the watched targets as the list has them. A target
+// that was never listed counts as live: the list lags, and the configuration
+// names it.
+func (d *Duty) applyList(now time.Time) {
+	var list []platform.VM
+	present := make(map[string]platform.VM, len(d.list))
+	for _, vm := range d.list {
+		present[vm.Name] = vm
+	}
+	for name, t := range d.targets {
+		vm, ok := present[name]
+		if !ok && d.listed[name] {
+			continue
+		}
+		state := platform.VMLive
+		if ok {
+			state = vm.State
 		}
-		w.target = t
-		next[t.Name] = w
+		list = append(list, platform.VM{Name: name, Address: t.Address, Role: platform.RoleTarget, State: state})
 	}
-	d.targets = next
+	d.perform(d.table.SetList(now, list))
 }
 
 // Lost reports that a connection to a target broke while requests ran there.
 func (d *Duty) Lost(target string, running []owner.Running) {
-	d.losses.TryPush(loss{target: target, running: running})
+	d.events.TryPush(func(now time.Time) {
+		fingerprints := d.losses[target]
+		if fingerprints == nil {
+			fingerprints = make(map[uint64]bool)
+			d.losses[target] = fingerprints
+		}
+		for _, r := range running {
+			fingerprints[r.Fingerprint] = true
+		}
+		if d.checkAt.IsZero() {
+			d.checkAt = now.Add(lossWindow)
+		}
+	})
 }
 
 // Run probes until the context ends.
 func (d *Duty) Run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return d.probeLoop(ctx) })
-	group.Go(func() error { return d.lossLoop(ctx) })
-	return group.Wait()
-}
-
-func (d *Duty) probeLoop(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer func() { _ = d.probes.Wait() }()
 	for {
-		d.probeAll(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case handle := <-d.events.Items():
+			handle(time.Now())
+		case now := <-ticker.C:
+			d.tick(ctx, now)
 		}
 	}
 }
 
-func (d *Duty) probeAll(ctx context.Context) {
-	var group errgroup.Group
-	group.SetLimit(parallelProbes)
-	for _, w := range d.list() {
-		group.Go(func() error {
-			d.probe(ctx, w)
-			return nil
-		})
+func (d *Duty) tick(ctx context.Context, now time.Time) {
+	for _, action := range d.table.Tick(now) {
+		if probe, ok := action.(membership.ProbeTarget); ok {
+			d.probe(ctx, probe.Name, probe.Address, d.probed)
+			continue
+		}
+		d.perform([]membership.Action{action})
+	}
+	if !d.checkAt.IsZero() && !now.Before(d.checkAt) {
+		d.checkLosses(ctx)
 	}
-	_ = group.Wait()
 }
 
-func (d *Duty) list() []*watched {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	out := make([]*watched, 0, len(d.targets))
-	for _, w := range d.targets {
-		out = append(out, w)
-	}
-	return out
+// probe asks one target in a goroutine of its own; then runs in the duty's. A
+// probe that finds no free goroutine is left to the next tick.
+func (d *Duty) probe(ctx context.Context, name, address string, then func(now time.Time, name string, health *engine.Health, err error)) bool {
+	return d.probes.TryGo(func() error {
+		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		health, err := d.Prober.Probe(callCtx, name, address)
+		d.events.TryPush(func(now time.Time) { then(now, name, health, err) })
+		return nil
+	})
 }
 
-// probe asks one target and reports changes.
-func (d *Duty) probe(ctx context.Context, w *watched) bool {
-	d.mu.Lock()
-	target := w.target
-	d.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	health, err := d.Prober.Probe(ctx, target.Name, target.Address)
-	if err == nil {
-		d.OnLoaded(target.Name, health.Versions)
-	}
-	if from, to, changed := d.judge(w, health, err); changed {
-		d.report(target.Name, from, to, err)
+func (d *Duty) probed(now time.Time, name string, health *engine.Health, err error) {
+	if err != nil {
+		d.perform(d.table.Probed(now, name, false, false))
+		return
 	}
-	return err == nil
+	d.OnLoaded(name, health.Versions)
+	d.perform(d.table.Probed(now, name, true, health.Leaving()))
 }
 
-// judge updates the state of a target after one probe.
-func (d *Duty) judge(w *watched, health *engine.Health, err error) (from, to owner.TargetState, changed bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	from = w.state
-	switch {
-	case err == nil && health.Leaving():
-		w.failures = 0
-		w.state = owner.Leaving
-	case err == nil:
-		w.failures = 0
-		w.state = owner.Up
-	default:
-		w.failures++
-		if w.failures >= failuresForDown {
-			w.state = owner.Down
+// states maps what is believed about a target to what its group does. A target
+// that has not answered yet is used: its probe follows within a second.
+var states = map[membership.TargetState]owner.TargetState{
+	membership.TargetUnproven: owner.Up,
+	membership.TargetUp:       owner.Up,
+	membership.TargetLeaving:  owner.Leaving,
+	membership.TargetDown:     owner.Down,
+	membership.TargetRemoved:  owner.Down,
+}
+
+func (d *Duty) perform(actions []membership.Action) {
+	for _, action := range actions {
+		change, ok := action.(membership.TargetChanged)
+		if !ok {
+			continue
+		}
+		d.OnState(change.Name, states[change.To])
+		if change.To == membership.TargetRemoved {
+			d.OnRemoved(change.Name)
 		}
+		d.log(change)
 	}
-	return from, w.state, from != w.state
 }
 
-func (d *Duty) report(target string, from, to owner.TargetState, err error) {
-	d.OnState(target, to)
-	fields := eventlog.Fields{"target": target}
-	if to == owner.Down {
-		d.Logger.EmitError(eventlog.TargetDown, err, fields)
-	} else if from == owner.Down {
+func (d *Duty) log(change membership.TargetChanged) {
+	fields := eventlog.Fields{"target": change.Name, "from": change.From.String(), "to": change.To.String()}
+	switch {
+	case change.To == membership.TargetDown:
+		d.Logger.Emit(eventlog.TargetDown, fields)
+	case change.From == membership.TargetDown && change.To == membership.TargetUp:
 		d.Logger.Emit(eventlog.TargetUp, fields)
+	default:
+		d.Logger.Emit(eventlog.TargetChanged, fields)
 	}
 }
 
-// lossLoop collects the losses of one target for a short time and then checks
-// the target.
-func (d *Duty) lossLoop(ctx context.Context) error {
-	var checks errgroup.Group
-	checks.SetLimit(parallelProbes)
-	defer func() { _ = checks.Wait() }()
-	collected := make(map[string]map[uint64]bool)
-	ticker := time.NewTicker(lossWindow)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case l := <-d.losses.Items():
-			collect(collected, l)
-		case <-ticker.C:
-			for target, fingerprints := range collected {
-				checks.Go(func() error {
-					d.check(ctx, target, fingerprints)
-					return nil
-				})
-			}
-			collected = make(map[string]map[uint64]bool)
+// checkLosses probes the targets that broke connections.
+func (d *Duty) checkLosses(ctx context.Context) {
+	d.checkAt = time.Time{}
+	for name, fingerprints := range d.losses {
+		t := d.targets[name]
+		if t == nil {
+			delete(d.losses, name)
+			continue
+		}
+		started := d.probe(ctx, name, t.Address, func(now time.Time, name string, health *engine.Health, err error) {
+			d.checked(now, name, fingerprints, health, err)
+		})
+		if started {
+			delete(d.losses, name)
 		}
 	}
-}
-
-func collect(collected map[string]map[uint64]bool, l loss) {
-	fingerprints := collected[l.target]
-	if fingerprints == nil {
-		fingerprints = make(map[uint64]bool)
-		collected[l.target] = fingerprints
-	}
-	for _, r := range l.running {
-		fingerprints[r.Fingerprint] = true
+	if len(d.losses) > 0 {
+		d.checkAt = time.Now().Add(tickInterval)
 	}
 }
 
-// check probes a target that broke connections. A target that still answers has
-// not crashed.
-func (d *Duty) check(ctx context.Context, target string, fingerprints map[uint64]bool) {
-	d.mu.Lock()
-	w := d.targets[target]
-	d.mu.Unlock()
-	if w == nil || d.probe(ctx, w) {
+// checked takes the probe of a target that broke connections. A target that
+// still answers has not crashed; otherwise broken connections and a failed probe
+// together are enough to take it out.
+func (d *Duty) checked(now time.Time, name string, fingerprints map[uint64]bool, health *engine.Health, err error) {
+	if err == nil {
+		d.probed(now, name, health, nil)
 		return
 	}
-	d.markDown(w)
+	for range failuresForDown {
+		d.perform(d.table.Probed(now, name, false, false))
+	}
 	list := make([]uint64, 0, len(fingerprints))
 	for f := range fingerprints {
 		list = append(list, f)
 	}
-	d.OnLost(target, list)
-}
-
-// markDown takes a crashed target out at once: broken connections and a failed
-// probe together are enough evidence.
-func (d *Duty) markDown(w *watched) {
-	d.mu.Lock()
-	from := w.state
-	w.state = owner.Down
-	w.failures = failuresForDown
-	name := w.target.Name
-	d.mu.Unlock()
-	if from != owner.Down {
-		d.OnState(name, owner.Down)
-	}
+	d.OnLost(name, list)
 }
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -87,6 +87,15 @@
 	d.tell(notices)
 }
 
+// Exonerate withdraws the last loss of a target as evidence: the platform removed
+// its VM, so the requests that ran there did not crash it.
+func (d *Duty) Exonerate(target string) {
+	d.mu.Lock()
+	notices := d.book.Exonerate(time.Now(), target)
+	d.mu.Unlock()
+	d.tell(notices)
+}
+
 // OnMessage takes a notice of a peer, and passes it on when it was new.
 func (d *Duty) OnMessage(m *peerpb.Envelope) bool {
 	body, ok := m.Body.(*peerpb.Envelope_Suspicion)
