--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -164,7 +164,7 @@
 }
 
 // OnMessage takes a message about moves.
-func (d *Duty) OnMessage(from string, m *peerpb.Envelope) bool {
+func (d *Duty) OnMessage(m *peerpb.Envelope) bool {
 	switch body := m.Body.(type) {
 	case *peerpb.Envelope_MoveState:
 		d.onRow(body.MoveState, m)
