--- a/bench/internal/cli/measure.go
+++ b/bench/internal/cli/measure.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"fmt"
+
 	"github.com/spf13/cobra"
 
 	"github.com/marjoramflow/marjoramflow/bench/internal/cluster"
@@ -8,8 +10,19 @@
 )
 
 func measureCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "measure", Short: "Run measurements and print tables"}
-	cmd.AddCommand(goodputCommand(), speedCommand(), daemonsCommand())
+	cmd := &cobra.Command{Use: "measure", Short: "Run measurements and print tables; without an argument all of them"}
+	cmd.AddCommand(speedCommand(), daemonsCommand(), faultsCommand(), goodputCommand())
+	cmd.Args = cobra.NoArgs
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		for _, part := range cmd.Commands() {
+			fmt.Fprintf(cmd.OutOrStdout(), "\n## %s\n\n", part.Name())
+			part.SetContext(cmd.Context())
+			if err := part.RunE(part, nil); err != nil {
+				return fmt.Errorf("%s: %w", part.Name(), err)
+			}
+		}
+		return nil
+	}
 	return cmd
 }
 
@@ -69,14 +82,41 @@
 			if err != nil {
 				return err
 			}
-			return measure.Daemons(cmd.Context(), programs, o, cmd.OutOrStdout())
+			if err := measure.Daemons(cmd.Context(), programs, o, cmd.OutOrStdout()); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout())
+			return measure.Owners(cmd.Context(), programs, o, cmd.OutOrStdout())
 		},
 	}
 	flags := cmd.Flags()
+	flags.IntSliceVar(&o.Targets, "targets", o.Targets, "numbers of configured targets")
 	flags.IntSliceVar(&o.Counts, "counts", o.Counts, "numbers of daemons")
 	flags.DurationVar(&o.Duration, "duration", o.Duration, "duration of each measurement")
+	flags.IntVar(&o.Processors, "processors", o.Processors, "GOMAXPROCS of the daemons; 0 is the machine's cores")
 	flags.Float64Var(&o.Rate, "rate", o.Rate, "requests per second and daemon under load")
 	flags.IntVar(&o.Publications, "publications", o.Publications, "publications that are timed")
 	flags.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the requests")
 	return cmd
 }
+
+func faultsCommand() *cobra.Command {
+	o := measure.DefaultFaults
+	cmd := &cobra.Command{
+		Use:   "faults",
+		Short: "Goodput by tier under faults, beside the naive scheduler",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			programs, err := cluster.Beside()
+			if err != nil {
+				return err
+			}
+			return measure.Faults(cmd.Context(), programs, o, cmd.OutOrStdout())
+		},
+	}
+	flags := cmd.Flags()
+	flags.Float64Var(&o.Load, "load", o.Load, "load as a factor of the capacity")
+	flags.DurationVar(&o.Duration, "duration", o.Duration, "duration of each run")
+	flags.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the requests")
+	flags.IntVar(&o.Daemons, "daemons", o.Daemons, "number of daemons")
+	return cmd
+}
--- a/bench/internal/measure/daemons.go
+++ b/bench/internal/measure/daemons.go
@@ -26,6 +26,8 @@
 	Seed         uint64
 	// Targets are the numbers of targets of the owner measurement.
 	Targets []int
+	// Processors is GOMAXPROCS of the daemons; 0 leaves it at the machine's cores.
+	Processors int
 }
 
 // DefaultDaemons is what make measure runs.
@@ -80,7 +82,7 @@
 
 func daemons(ctx context.Context, programs cluster.Programs, o DaemonsOptions, n int) (daemonsRow, error) {
 	row := daemonsRow{daemons: n}
-	c, err := startDaemons(ctx, programs, n)
+	c, err := startDaemons(ctx, programs, o, n)
 	if err != nil {
 		return row, err
 	}
@@ -107,13 +109,17 @@
 }
 
 // startDaemons starts one data centre with few engines, which are quick.
-func startDaemons(ctx context.Context, programs cluster.Programs, n int) (*cluster.Cluster, error) {
+func startDaemons(ctx context.Context, programs cluster.Programs, o DaemonsOptions, n int) (*cluster.Cluster, error) {
 	dir, err := os.MkdirTemp("", "marjoramflow-measure-")
 	if err != nil {
 		return nil, err
 	}
 	dc := cluster.DataCentre{Name: "lhr-a", Region: "lahore", Daemons: n, Engines: []cluster.Engine{quickEngine, quickEngine, quickEngine, quickEngine}, Plains: 1}
-	c, err := cluster.Start(ctx, dir, programs, cluster.Spec{DataCentres: []cluster.DataCentre{dc}})
+	spec := cluster.Spec{DataCentres: []cluster.DataCentre{dc}}
+	if o.Processors > 0 {
+		spec.DaemonEnvironment = []string{fmt.Sprintf("GOMAXPROCS=%d", o.Processors)}
+	}
+	c, err := cluster.Start(ctx, dir, programs, spec)
 	if err != nil {
 		return nil, err
 	}
