Resync held grants every ten seconds

Cause: a release that is lost, because a ring was full or a session broke, kept its slot at the owner until the entry's session ended.

Ruled out: acknowledging each release; it would cost a message per request.

Change: an entry tells the owners of the groups that it used which grants it holds, every 10 s and also when it holds none.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -181,6 +181,7 @@
 		d.members.Run,
 		d.members.RunList,
 		d.owners.Run,
+		d.grants.Run,
 		d.probes.Run,
 		d.suspects.Run,
 		d.suspects.RunStore,
--- a/internal/grants/client.go
+++ b/internal/grants/client.go
@@ -64,6 +64,8 @@
 	waiting map[string]*wait
 	held    map[string]*held
 	loads   map[topology.Key]*peerpb.GroupLoad
+	// used are the groups that gave a grant since the last resync, with their owner.
+	used map[topology.Key]string
 }
 
 // wait is a request that waits for a reply.
@@ -95,6 +97,7 @@
 		waiting: make(map[string]*wait),
 		held:    make(map[string]*held),
 		loads:   make(map[topology.Key]*peerpb.GroupLoad),
+		used:    make(map[topology.Key]string),
 	}
 }
 
--- a/internal/grants/move.go
+++ b/internal/grants/move.go
@@ -1,6 +1,9 @@
 package grants
 
 import (
+	"context"
+	"time"
+
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/topology"
 )
@@ -41,6 +44,46 @@
 	}
 }
 
+// resyncInterval is the time after which an owner learns of a release that was
+// lost on the way.
+const resyncInterval = 10 * time.Second
+
+// Run tells the owners of the groups in use which grants are held, until the
+// context ends. Without it a lost release would keep a slot for ever.
+func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(resyncInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			c.resyncAll()
+		}
+	}
+}
+
+// resyncAll sends one message per group that was used since the last call, also
+// when no grant is held there any more.
+func (c *Client) resyncAll() {
+	c.mu.Lock()
+	owners := c.used
+	c.used = make(map[topology.Key]string)
+	byKey := make(map[topology.Key]*peerpb.Resync, len(owners))
+	for key := range owners {
+		byKey[key] = &peerpb.Resync{Service: key.Service, Group: uint32(key.Number)}
+	}
+	for _, h := range c.held {
+		owners[h.key] = h.owner
+		c.used[h.key] = h.owner
+		addHeld(byKey, h)
+	}
+	c.mu.Unlock()
+	for key, message := range byKey {
+		c.send(owners[key], message)
+	}
+}
+
 // resync is a message for a new owner.
 type resync struct {
 	owner   string
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -356,6 +356,7 @@
 	c.mu.Lock()
 	delete(c.waiting, w.reserve.Id)
 	c.held[w.reserve.Id] = h
+	c.used[w.key] = w.owner
 	c.mu.Unlock()
 	return answer{grant: &entry.Grant{
 		Need:         w.need,
