Hedge idempotent calls and name runs by the entry

Cause: two faults of the entry. An idempotent call waited for a target that had gone silent until the route's timeout. Reservations were named by the caller's request id, which callers repeat, so that two runs shared one grant.

Ruled out: hashing the caller's id with the account; the same caller repeats it too.

Change: each run of a request has a name that is unique over all daemons.

Conclusion: reservations are never hedged; the test checks their executions.

--- /dev/null
+++ b/bench/e2e/hedge_test.go
@@ -0,0 +1,45 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/bench/internal/caller"
+	"github.com/marjoramflow/marjoramflow/bench/internal/cluster"
+	"github.com/marjoramflow/marjoramflow/bench/standin/faults"
+)
+
+// Guards against idempotent calls that wait for a target that went silent while
+// another one answers: they are hedged before the probe takes the target out.
+func TestIdempotentCallIsHedged(t *testing.T) {
+	spec := cluster.OneDataCentre(1)
+	spec.DataCentres[0].Plains = 2
+	ctx, c := start(t, spec)
+	client := newCaller("clerks")
+	read := caller.Plain{Method: http.MethodGet, Path: "/stock"}
+	for range 60 {
+		r := client.Plain(ctx, c.Daemons[0].Callers, read)
+		assert.Equal(t, r.Outcome, caller.Whole, "%+v", r)
+	}
+	assert.NilError(t, c.Plains[0].SetFaults(ctx, faults.Switches{Freeze: true}))
+	for i := range 6 {
+		r := client.Plain(ctx, c.Daemons[0].Callers, read)
+		assert.Equal(t, r.Outcome, caller.Whole, "%+v", r)
+		assert.Assert(t, r.Total < time.Second, "call %d took %s", i, r.Total)
+	}
+	// A reservation is never hedged.
+	for i := range 3 {
+		body := fmt.Sprintf("panel %d", i)
+		client.HTTP.Timeout = time.Second
+		client.Plain(ctx, c.Daemons[0].Callers, reserve(body, ""))
+	}
+	for body, runs := range executions(t, c) {
+		if body != "" {
+			assert.Equal(t, runs, 1, body)
+		}
+	}
+}
--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -75,6 +75,28 @@
 	return r.policy(service).Decide(time.Now(), a)
 }
 
+// hedges decides about second attempts within the budgets of retries. It
+// implements entry.Hedges.
+type hedges struct {
+	hedger  *retry.Hedger
+	retries *retries
+}
+
+func (h hedges) Observe(class string, took time.Duration) {
+	h.hedger.Observe(time.Now(), class, took)
+}
+
+func (h hedges) Delay(class string) (time.Duration, bool) {
+	return h.hedger.Delay(time.Now(), class)
+}
+
+func (h hedges) Try(service string, r retry.Hedge) bool {
+	h.retries.mu.Lock()
+	budget := h.retries.policy(service).Budget
+	h.retries.mu.Unlock()
+	return h.hedger.TryHedge(time.Now(), budget, r)
+}
+
 // pause waits, but not beyond the end of the context.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -19,6 +19,7 @@
 	"github.com/marjoramflow/marjoramflow/plainservice"
 	"github.com/marjoramflow/marjoramflow/platform"
 	"github.com/marjoramflow/marjoramflow/provider/httpplatform"
+	"github.com/marjoramflow/marjoramflow/retry"
 	"github.com/marjoramflow/marjoramflow/settings"
 	"github.com/marjoramflow/marjoramflow/store"
 )
@@ -183,6 +184,7 @@
 		Link:        d.link,
 		Unreachable: d.members.Unreachable,
 	})
+	budgets := newRetries()
 	d.entry = entry.New(entry.Config{
 		Grants:   d.grants,
 		Engines:  d.engines,
@@ -191,7 +193,8 @@
 		Observer: &observer{lengths: d.lengths, moves: d.moves},
 		Keys:     d.keys,
 		Suspects: d.suspects,
-		Retries:  newRetries(),
+		Retries:  budgets,
+		Hedges:   hedges{hedger: retry.NewHedger(), retries: budgets},
 		Pause:    pause,
 	})
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -53,8 +53,10 @@
 
 // chat is the state of one request between attempts.
 type chat struct {
-	entry    *Entry
-	request  *ChatRequest
+	entry   *Entry
+	request *ChatRequest
+	// run names this run of the request in reservations.
+	run      string
 	sink     Sink
 	version  string
 	suspect  bool
@@ -78,7 +80,7 @@
 		return quarantinedRefusal()
 	}
 	e.Retries.Request(r.Service.Name)
-	c := &chat{entry: e, request: r, sink: sink, suspect: suspect, version: e.Versions.Pick(r.Service)}
+	c := &chat{entry: e, request: r, run: e.newRun(), sink: sink, suspect: suspect, version: e.Versions.Pick(r.Service)}
 	return c.runToEnd(ctx)
 }
 
@@ -87,7 +89,7 @@
 func (c *chat) runToEnd(ctx context.Context) error {
 	grant, err := c.firstGrant(ctx)
 	for err == nil {
-		report, runErr := c.run(ctx, grant)
+		report, runErr := c.runAttempt(ctx, grant)
 		if errors.Is(runErr, errPreempted) {
 			c.attempts++
 			grant, err = c.regrant(ctx, grant, report)
@@ -147,7 +149,7 @@
 func (c *chat) need() Need {
 	r := c.request
 	return Need{
-		ID:           attemptID(r.ID, c.failures),
+		ID:           attemptID(c.run, c.failures),
 		Service:      r.Service.Name,
 		Version:      c.version,
 		Account:      r.Caller.Account.Name,
@@ -177,8 +179,8 @@
 	return refusal
 }
 
-// run streams one attempt to the sink.
-func (c *chat) run(ctx context.Context, grant *Grant) (Report, error) {
+// runAttempt streams one attempt to the sink.
+func (c *chat) runAttempt(ctx context.Context, grant *Grant) (Report, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := c.watchPreemption(ctx, cancel, grant)
@@ -252,7 +254,7 @@
 
 func (c *chat) call(grant *Grant) *engine.Call {
 	return &engine.Call{
-		ID:           attemptID(c.request.ID, c.attempts),
+		ID:           c.request.ID + "." + attemptID(c.run, c.attempts),
 		Target:       grant.Target.Name,
 		Address:      grant.Target.Address,
 		Model:        c.request.Model(c.version),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/attempt"
@@ -36,6 +38,7 @@
 	Keys     Keys
 	Suspects Suspects
 	Retries  Retries
+	Hedges   Hedges
 	// Pause waits before a retry; it returns early when the context ends.
 	Pause func(ctx context.Context, d time.Duration)
 }
@@ -43,11 +46,20 @@
 // Entry runs requests.
 type Entry struct {
 	Config
+	// prefix and runs make the names of runs unique over all daemons.
+	prefix string
+	runs   atomic.Uint64
 }
 
 // New returns an Entry.
 func New(config Config) *Entry {
-	return &Entry{Config: config}
+	return &Entry{Config: config, prefix: rand.Text()}
+}
+
+// newRun names one run of a request. Request ids are not used for this: callers
+// choose them, and send the same one twice.
+func (e *Entry) newRun() string {
+	return e.prefix + "-" + strconv.FormatUint(e.runs.Add(1), 36)
 }
 
 // Caller is an authenticated client account.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/attempt"
@@ -36,22 +37,26 @@
 		return nil, quarantinedRefusal()
 	}
 	e.Retries.Request(r.Service.Name)
-	p := &plain{entry: e, request: r, suspect: suspect}
+	p := &plain{entry: e, request: r, run: e.newRun(), suspect: suspect}
 	if r.Key != "" && !r.Route.Idempotent {
 		return p.keyed(ctx)
 	}
-	return p.run(ctx)
+	return p.runToEnd(ctx)
 }
 
 // plain is the state of one call between attempts.
 type plain struct {
 	entry   *Entry
 	request *PlainRequest
+	// run names this run of the request in reservations.
+	run     string
 	suspect bool
 	version string
 	exclude []string
 	tries   int
 	losses  losses
+	// target is the one of the attempt in progress; nil before its grant.
+	target atomic.Pointer[string]
 	// mayHaveRun is set once an attempt was sent.
 	mayHaveRun bool
 }
@@ -74,7 +79,7 @@
 	if claim.Outcome != idempotency.Claimed {
 		return repeated(claim)
 	}
-	answer, err := p.run(ctx)
+	answer, err := p.runToEnd(ctx)
 	p.endClaim(claim.Held, answer, err)
 	return answer, err
 }
@@ -113,12 +118,12 @@
 	return nil, &Refusal{Status: http.StatusConflict, Code: CodeKeyUnknown, Outcome: Unknown, Message: "the outcome of the request with this key is unknown"}
 }
 
-// run makes attempts until the retry policy ends the call. A call that must not
+// runToEnd makes attempts until the retry policy ends the call. A call that must not
 // run twice gets another attempt only when nothing was sent.
-func (p *plain) run(ctx context.Context) (*plainservice.Answer, error) {
+func (p *plain) runToEnd(ctx context.Context) (*plainservice.Answer, error) {
 	for {
 		p.tries++
-		answer, err := p.dispatch(ctx)
+		answer, err := p.hedged(ctx)
 		if err != nil && attempt.KindOf(err) == 0 {
 			return nil, p.afterReserve(err)
 		}
@@ -199,6 +204,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.target.Store(&grant.Target.Name)
 	started := time.Now()
 	answer, err := p.entry.Plains.Do(ctx, p.call(grant))
 	report := Report{Duration: time.Since(started), Result: resultOf(ctx, err)}
@@ -218,7 +224,7 @@
 func (p *plain) need() Need {
 	r := p.request
 	return Need{
-		ID:          attemptID(r.ID, p.tries),
+		ID:          attemptID(p.run, p.tries),
 		Service:     r.Service.Name,
 		Version:     p.version,
 		Account:     r.Caller.Account.Name,
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -142,6 +142,17 @@
 	Finished(fingerprint uint64)
 }
 
+// Hedges decides whether an idempotent call that has no answer yet is sent to a
+// second target.
+type Hedges interface {
+	// Observe records the time of an answered call of a class.
+	Observe(class string, took time.Duration)
+	// Delay returns the time after which a call is hedged; false is never.
+	Delay(class string) (time.Duration, bool)
+	// Try takes one hedge from the retry budget of the service.
+	Try(service string, h retry.Hedge) bool
+}
+
 // Retries decides about further attempts within the retry budget of a service.
 type Retries interface {
 	// Request counts a first attempt.
