entry: count every earlier attempt before saying that a chat did not run

Cause: a chat looked only at its failed attempts when it ended. An attempt that was preempted while it ran, followed by one that was never sent, and any earlier attempt followed by a rejection of the engine were answered with not_run. Ruled out: the retry policy, which gives up with the outcome that it is told, and plain calls, which keep the mark over all attempts. Change: a chat keeps the same mark; refused and unsent attempts do not set it.

A policy that repeats blindly is found by the same checks.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -66,6 +66,8 @@
 	attempts int
 	failures int
 	losses   losses
+	// mayHaveRun is set once a target may have run an attempt.
+	mayHaveRun bool
 }
 
 // Chat runs a request to its end. It returns nil when the whole answer went to
@@ -90,6 +92,7 @@
 		report, runErr := c.run(ctx, grant)
 		if errors.Is(runErr, errPreempted) {
 			c.attempts++
+			c.mayHaveRun = true
 			grant, err = c.regrant(ctx, grant, report)
 			continue
 		}
@@ -296,14 +299,17 @@
 	case ctx.Err() != nil:
 		return false, &Refusal{Status: http.StatusGatewayTimeout, Code: CodeDeadline, Outcome: Unknown, Message: "the deadline passed", Err: err}
 	case attempt.KindOf(err) == attempt.Rejected:
-		return false, rejected(err)
+		return false, c.rejected(err)
 	}
 	return c.retry(ctx, grant, err)
 }
 
 // rejected passes on that an engine found the request at fault.
-func rejected(err error) *Refusal {
+func (c *chat) rejected(err error) *Refusal {
 	r := Refuse(http.StatusBadRequest, CodeBadRequest, "the engine rejected the request")
+	if c.mayHaveRun {
+		r.Outcome = Unknown
+	}
 	r.Err = err
 	return r
 }
@@ -316,7 +322,8 @@
 	a := describe(err)
 	a.Tokens = c.next
 	a.Number = c.failures
-	a.EarlierMayHaveRun = c.failures > 1
+	a.EarlierMayHaveRun = c.mayHaveRun
+	c.mayHaveRun = c.mayHaveRun || a.MayHaveRun()
 	a.Resumable = true
 	a.Remaining = time.Until(c.request.final())
 	action := c.entry.Retries.Decide(service.Name, a)
--- /dev/null
+++ b/entry/plain_test.go
@@ -0,0 +1,289 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/attempt"
+	"github.com/marjoramflow/marjoramflow/idempotency"
+	"github.com/marjoramflow/marjoramflow/internal/memtable"
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/plainservice"
+	"github.com/marjoramflow/marjoramflow/quarantine"
+	"github.com/marjoramflow/marjoramflow/retry"
+)
+
+// seeds is the number of fault schedules; MARJORAM_SEEDS sets another one.
+func seeds(usual uint64) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("MARJORAM_SEEDS"), 10, 32); err == nil {
+		return n
+	}
+	return usual
+}
+
+// dice is a random source that goroutines share.
+type dice struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newDice(seed uint64) *dice {
+	return &dice{rng: rand.New(rand.NewPCG(seed, 7))}
+}
+
+func (d *dice) n(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rng.IntN(n)
+}
+
+var (
+	testTier    = &object.Tier{Name: "top", FirstToken: time.Second, Deadline: 20 * time.Second}
+	testCaller  = Caller{Account: &object.ClientAccount{Name: "depot"}, Tier: testTier}
+	testService = &object.Service{Name: "records"}
+)
+
+// stubs are the parts of an Entry that take no part in a fault.
+type stubs struct{}
+
+func (stubs) Attempt(Observation)                      {}
+func (stubs) Pick(*object.Service) string              { return "v1" }
+func (stubs) Check(uint64) quarantine.State            { return quarantine.Clear }
+func (stubs) Finished(uint64)                          {}
+func (stubs) pause(_ context.Context, d time.Duration) { time.Sleep(d) }
+
+// policyRetries is the shipped policy.
+type policyRetries struct{ policy *retry.Policy }
+
+func (p policyRetries) Request(string) { p.policy.Budget.Request(time.Now()) }
+func (p policyRetries) Decide(_ string, a retry.Attempt) retry.Action {
+	return p.policy.Decide(time.Now(), a)
+}
+
+// blindRetries repeats every failed attempt and calls the last one not run.
+type blindRetries struct{}
+
+func (blindRetries) Request(string) {}
+func (blindRetries) Decide(_ string, a retry.Attempt) retry.Action {
+	switch {
+	case a.Outcome == retry.Answered && a.Status < http.StatusInternalServerError:
+		return retry.Action{Kind: retry.Deliver}
+	case a.Number >= 3:
+		return retry.Action{Kind: retry.GiveUpNotRun}
+	}
+	return retry.Action{Kind: retry.RetryElsewhere}
+}
+
+// openGrants grants every request, and refuses some.
+type openGrants struct {
+	dice *dice
+	mu   sync.Mutex
+	open map[string]int
+}
+
+func (g *openGrants) Reserve(_ context.Context, need Need) (*Grant, error) {
+	if g.dice.n(10) == 0 {
+		return nil, Refuse(http.StatusServiceUnavailable, CodeOverloaded, "no slot")
+	}
+	g.count(need.ID, 1)
+	return &Grant{Need: need, Target: object.Target{Name: fmt.Sprint("t", g.dice.n(3))}}, nil
+}
+
+func (g *openGrants) Release(grant *Grant, _ Report) { g.count(grant.Need.ID, -1) }
+
+func (g *openGrants) Requeue(ctx context.Context, grant *Grant, report Report) (*Grant, error) {
+	g.Release(grant, report)
+	return g.Reserve(ctx, grant.Need)
+}
+
+func (g *openGrants) count(id string, by int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open[id] += by
+}
+
+func (g *openGrants) check() (problems []string) {
+	for id, n := range g.open {
+		if n != 0 {
+			problems = append(problems, fmt.Sprintf("grant %s is open %d times", id, n))
+		}
+	}
+	return problems
+}
+
+// plainTarget loses requests and answers, dies, stalls and refuses connections.
+// It counts what was written to it and what it ran.
+type plainTarget struct {
+	dice *dice
+	mu   sync.Mutex
+	sent map[string]int
+	ran  map[string]int
+	work map[string]int
+}
+
+func (p *plainTarget) count(in map[string]int, key string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	in[key]++
+	return in[key]
+}
+
+func (p *plainTarget) run(call *plainservice.Call) *plainservice.Answer {
+	p.count(p.ran, call.ID)
+	n := p.count(p.work, string(call.Body))
+	return &plainservice.Answer{Status: http.StatusOK, Body: fmt.Appendf(nil, "%s run %d", call.Body, n)}
+}
+
+// Do implements Plains.
+func (p *plainTarget) Do(ctx context.Context, call *plainservice.Call) (*plainservice.Answer, error) {
+	fail := func(kind attempt.Kind) (*plainservice.Answer, error) {
+		return nil, &attempt.Error{Kind: kind, Target: call.Target, Err: errors.New("injected")}
+	}
+	fate := p.dice.n(10)
+	if fate == 0 {
+		return fail(attempt.NotSent)
+	}
+	p.count(p.sent, call.ID)
+	time.Sleep(time.Duration(p.dice.n(200)) * time.Millisecond)
+	switch fate {
+	case 1: // request lost
+		return fail(attempt.MaybeSent)
+	case 2: // answer lost
+		p.run(call)
+		return fail(attempt.MaybeSent)
+	case 3: // runs after its connection broke
+		go func() {
+			time.Sleep(time.Second)
+			p.run(call)
+		}()
+		return fail(attempt.MaybeSent)
+	case 4: // dies while it answers
+		p.run(call)
+		return fail(attempt.Cut)
+	case 5: // stalls
+		p.run(call)
+		<-ctx.Done()
+		return fail(attempt.Stalled)
+	case 6:
+		p.run(call)
+		return &plainservice.Answer{Status: http.StatusInternalServerError}, nil
+	case 7:
+		return &plainservice.Answer{Status: http.StatusServiceUnavailable}, nil
+	}
+	return p.run(call), nil
+}
+
+// plainRun runs callers of one seed against two entries with a shared table, and
+// returns what was violated.
+func plainRun(seed uint64, retries Retries) (problems []string) {
+	d := newDice(seed)
+	target := &plainTarget{dice: d, sent: map[string]int{}, ran: map[string]int{}, work: map[string]int{}}
+	grants := &openGrants{dice: d, open: map[string]int{}}
+	table := memtable.New()
+	table.SetFailure(func(bool) memtable.Failure { return memtable.Failure(max(0, d.n(12)-8)) })
+	ctx, cancel := context.WithCancel(context.Background())
+	var entries []*Entry
+	var tasks, calls sync.WaitGroup
+	for range 2 {
+		claims := idempotency.New(table, idempotency.Options{})
+		tasks.Go(func() { _ = claims.Run(ctx) })
+		s := stubs{}
+		entries = append(entries, New(Config{Grants: grants, Plains: target, Versions: s, Observer: s, Keys: claims, Suspects: s, Retries: retries, Pause: s.pause}))
+	}
+	var mu sync.Mutex
+	notRun := map[string]bool{}
+	answers := map[string]map[string]bool{}
+	once := map[string]bool{} // request ids of routes that are not idempotent
+	keyed := map[string]bool{}
+	call := func(id, body, key string, idempotent bool) {
+		r := &PlainRequest{
+			ID: id, Caller: testCaller, Service: testService, Body: []byte(body), Key: key, Fingerprint: 1,
+			Route: &object.Route{Method: http.MethodPost, Idempotent: idempotent}, Deadline: time.Now().Add(5 * time.Second),
+		}
+		answer, err := entries[d.n(2)].Plain(ctx, r)
+		mu.Lock()
+		defer mu.Unlock()
+		once[id] = !idempotent
+		if err != nil {
+			notRun[id] = AsRefusal(err).Outcome == NotRun
+			return
+		}
+		if key != "" && answer.Status == http.StatusOK {
+			if answers[key] == nil {
+				answers[key] = map[string]bool{}
+			}
+			answers[key][string(answer.Body)] = true
+		}
+	}
+	for i := range 6 {
+		name := fmt.Sprint("k", i)
+		keyed[name] = true
+		for c := range 2 {
+			calls.Go(func() {
+				for n := range 3 {
+					time.Sleep(time.Duration(d.n(2000)) * time.Millisecond)
+					call(fmt.Sprint(name, ".", c, ".", n), name, name, false)
+				}
+			})
+		}
+		calls.Go(func() { call(fmt.Sprint("once", i), fmt.Sprint("once", i), "", false) })
+		calls.Go(func() { call(fmt.Sprint("again", i), fmt.Sprint("again", i), "", true) })
+	}
+	calls.Wait()
+	time.Sleep(3 * time.Minute) // late executions and records
+	cancel()
+	tasks.Wait()
+	synctest.Wait()
+	for id, said := range notRun {
+		if said && target.ran[id] > 0 {
+			problems = append(problems, fmt.Sprintf("%s ran and was answered with not run", id))
+		}
+	}
+	for id, single := range once {
+		if single && target.sent[id] > 1 {
+			problems = append(problems, fmt.Sprintf("%s was sent %d times", id, target.sent[id]))
+		}
+	}
+	for key := range keyed {
+		if target.work[key] > 1 {
+			problems = append(problems, fmt.Sprintf("key %s ran %d times", key, target.work[key]))
+		}
+		if len(answers[key]) > 1 {
+			problems = append(problems, fmt.Sprintf("key %s has %d answers", key, len(answers[key])))
+		}
+	}
+	return append(problems, grants.check()...)
+}
+
+// Guards against a call that runs twice, a "not run" that is untrue, and a grant
+// that is not released, while the table, the connections and the target fail.
+func TestPlainCallsUnderFaults(t *testing.T) {
+	for seed := range seeds(40) {
+		synctest.Test(t, func(t *testing.T) {
+			if problems := plainRun(seed, policyRetries{retry.NewPolicy()}); len(problems) > 0 {
+				t.Errorf("seed %d: %v", seed, problems)
+			}
+		})
+	}
+}
+
+// Guards against checks that cannot fail: a policy that repeats blindly must be
+// found.
+func TestPlainChecksFindBlindRetries(t *testing.T) {
+	found := 0
+	for seed := range uint64(5) {
+		synctest.Test(t, func(*testing.T) { found += len(plainRun(seed, blindRetries{})) })
+	}
+	assert.Assert(t, found > 0)
+}
