--- a/bench/internal/cluster/cluster.go
+++ b/bench/internal/cluster/cluster.go
@@ -16,6 +16,7 @@
 
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/settings"
 )
 
 // Programs are the paths of the binaries.
@@ -27,6 +28,7 @@
 type Member struct {
 	*Process
 	DataCentre string
+	Region     string
 	Callers    string
 	Admin      string
 	Peers      string
@@ -90,6 +92,11 @@
 			return err
 		}
 	}
+	for _, d := range c.Daemons {
+		if err := c.writeSettings(d); err != nil {
+			return err
+		}
+	}
 	if err := c.PutVMs(ctx, c.VMs()); err != nil {
 		return err
 	}
@@ -158,10 +165,10 @@
 	})
 }
 
-// addDaemons writes the settings of the daemons of a data centre.
+// addDaemons adds the daemons of a data centre.
 func (c *Cluster) addDaemons(dc *DataCentre) error {
 	for i := range dc.Daemons {
-		m := &Member{DataCentre: dc.Name}
+		m := &Member{DataCentre: dc.Name, Region: dc.Region}
 		for _, address := range []*string{&m.Callers, &m.Admin, &m.Peers} {
 			var err error
 			if *address, err = freeAddress(); err != nil {
@@ -169,17 +176,17 @@
 			}
 		}
 		name := fmt.Sprintf("%s-%d", dc.Name, i+1)
-		path := filepath.Join(c.Dir, name+".yaml")
-		if err := c.writeSettings(path, name, dc, m); err != nil {
-			return err
-		}
-		m.Process = c.daemonProcess(name, path)
+		m.Process = c.daemonProcess(name, c.settingsPath(name))
 		m.environment = c.Spec.DaemonEnvironment
 		c.Daemons = append(c.Daemons, m)
 	}
 	return nil
 }
 
+func (c *Cluster) settingsPath(daemon string) string {
+	return filepath.Join(c.Dir, daemon+".yaml")
+}
+
 func (c *Cluster) daemonProcess(name, path string) *Process {
 	if c.Spec.Profile == "" {
 		return newProcess(c.Dir, name, c.Programs.Daemon, "--settings", path)
@@ -196,27 +203,53 @@
 	Region     string            `yaml:"region"`
 	Listen     map[string]string `yaml:"listen"`
 	Platform   map[string]string `yaml:"platform"`
+	Seeds      []settings.Seed   `yaml:"seeds,omitempty"`
+	TLS        *settings.TLS     `yaml:"tls,omitempty"`
 	Tokens     map[string]any    `yaml:"tokens"`
 }
 
-func (c *Cluster) writeSettings(path, name string, dc *DataCentre, m *Member) error {
+// writeSettings writes the settings file of a daemon. The addresses of all
+// daemons are known by then, for the seeds.
+func (c *Cluster) writeSettings(m *Member) error {
 	callers := make(map[string]string)
 	for _, a := range c.Spec.Accounts {
 		callers[a.Name] = CallerToken(a.Name)
 	}
 	base := "http://" + c.Platform.Address
-	data, err := yaml.Marshal(daemonSettings{
-		Name:       name,
-		DataCentre: dc.Name,
-		Region:     dc.Region,
+	file := daemonSettings{
+		Name:       m.Name,
+		DataCentre: m.DataCentre,
+		Region:     m.Region,
 		Listen:     map[string]string{"callers": m.Callers, "admin": m.Admin, "peers": m.Peers},
 		Platform:   map[string]string{"table": base, "objects": base, "weights": base, "vms": base},
 		Tokens:     map[string]any{"operators": map[string]string{"ops": OperatorToken}, "callers": callers},
-	})
+	}
+	if c.Spec.Seeds {
+		file.Seeds = c.seeds(m)
+	}
+	if c.Spec.TLS != nil {
+		files, err := c.Spec.TLS(m.Name)
+		if err != nil {
+			return err
+		}
+		file.TLS = &files
+	}
+	data, err := yaml.Marshal(file)
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(path, data, 0o600)
+	return os.WriteFile(c.settingsPath(m.Name), data, 0o600)
+}
+
+// seeds lists all daemons but one.
+func (c *Cluster) seeds(except *Member) []settings.Seed {
+	var seeds []settings.Seed
+	for _, d := range c.Daemons {
+		if d != except {
+			seeds = append(seeds, settings.Seed{Name: d.Name, DataCentre: d.DataCentre, Address: d.Peers})
+		}
+	}
+	return seeds
 }
 
 // VMs returns the VM list with everything live.
--- a/bench/internal/cluster/publish.go
+++ b/bench/internal/cluster/publish.go
@@ -59,8 +59,13 @@
 	return nil
 }
 
+// AdminClient returns a client of the administration API of this daemon alone.
+func (m *Member) AdminClient() (*adminapi.Client, error) {
+	return adminapi.NewClient(adminapi.ClientOptions{Servers: []string{"http://" + m.Admin}, Token: settings.NewSecret(OperatorToken)})
+}
+
 func (m *Member) waitGeneration(ctx context.Context, generation uint64, timeout time.Duration) error {
-	admin, err := adminapi.NewClient(adminapi.ClientOptions{Servers: []string{"http://" + m.Admin}, Token: settings.NewSecret(OperatorToken)})
+	admin, err := m.AdminClient()
 	if err != nil {
 		return err
 	}
--- a/bench/internal/cluster/spec.go
+++ b/bench/internal/cluster/spec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/settings"
 )
 
 // Spec describes a cluster: data centres with daemons, engines and plain
@@ -27,6 +28,10 @@
 	Profile string
 	// Loaded are the models that engines have loaded at start.
 	Loaded []string
+	// Seeds gives each daemon the addresses of all others in its settings.
+	Seeds bool
+	// TLS makes the key files of a daemon; nil leaves the sessions without TLS.
+	TLS func(daemon string) (settings.TLS, error)
 }
 
 // DataCentre is one data centre of a Spec.
