--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -127,24 +127,15 @@
 	counts := b.daemon.metrics.Snapshot().Requests
 	var out []adminapi.TierStatus
 	for _, t := range index.Tiers() {
-		s := adminapi.TierStatus{
+		ofTier := func(c metrics.RequestCount) bool { return c.Tier == t.Name }
+		out = append(out, adminapi.TierStatus{
 			Name:    t.Name,
 			Rank:    t.Rank,
 			Running: b.daemon.grants.RunningInTier(t.Rank),
 			Waiting: b.daemon.grants.WaitingInTier(t.Rank),
-		}
-		for _, c := range counts {
-			if c.Tier != t.Name {
-				continue
-			}
-			switch c.Outcome {
-			case metrics.Done:
-				s.Done += c.Count
-			case metrics.Shed:
-				s.Shed += c.Count
-			}
-		}
-		out = append(out, s)
+			Done:    sum(counts, metrics.Done, ofTier),
+			Shed:    sum(counts, metrics.Shed, ofTier),
+		})
 	}
 	return out, nil
 }
@@ -158,25 +149,27 @@
 	out := make([]adminapi.AccountStatus, 0, len(index.Set.ClientAccounts))
 	for i := range index.Set.ClientAccounts {
 		a := &index.Set.ClientAccounts[i]
-		s := adminapi.AccountStatus{
+		ofAccount := func(c metrics.RequestCount) bool { return c.Account == a.Name }
+		out = append(out, adminapi.AccountStatus{
 			Name:              a.Name,
 			Tier:              a.Tier,
 			RequestsPerSecond: a.RequestsPerSecond,
 			TokensPerSecond:   a.TokensPerSecond,
 			Portion:           b.daemon.limits.portion(a.Name),
-		}
-		for _, c := range counts {
-			if c.Account != a.Name {
-				continue
-			}
-			switch c.Outcome {
-			case metrics.Done:
-				s.Done += c.Count
-			case metrics.Limited:
-				s.Limited += c.Count
-			}
-		}
-		out = append(out, s)
+			Done:              sum(counts, metrics.Done, ofAccount),
+			Limited:           sum(counts, metrics.Limited, ofAccount),
+		})
 	}
 	return out, nil
 }
+
+// sum adds the requests with an outcome that match.
+func sum(counts []metrics.RequestCount, outcome metrics.Outcome, match func(metrics.RequestCount) bool) int64 {
+	total := int64(0)
+	for _, c := range counts {
+		if c.Outcome == outcome && match(c) {
+			total += c.Count
+		}
+	}
+	return total
+}
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -171,11 +171,13 @@
 }
 
 // end closes the answer. A stream that began and failed ends with an explicit
-// error event, never silently.
+// error event, never silently. Write errors are dropped: the caller has gone, and
+// nothing can be told it.
 func (a *answer) end(err error) error {
 	switch {
 	case err == nil && a.stream:
-		return ignoreGone(a.write("[DONE]"))
+		_ = a.write("[DONE]")
+		return nil
 	case err == nil:
 		return a.whole()
 	case !a.started:
@@ -183,7 +185,8 @@
 	}
 	refusal := entry.AsRefusal(err)
 	a.call.server.Logger.EmitError(eventlog.RequestFailed, err, eventlog.Fields{"request": a.call.id, "code": string(refusal.Code)})
-	return ignoreGone(a.send(errorBody(a.call.id, refusal)))
+	_ = a.send(errorBody(a.call.id, refusal))
+	return nil
 }
 
 type wholeMessage struct {
@@ -208,14 +211,15 @@
 
 func (a *answer) whole() error {
 	message := wholeMessage{Role: "assistant", Content: a.text.String()}
-	return ignoreGone(a.call.echo.JSON(http.StatusOK, wholeAnswer{
+	_ = a.call.echo.JSON(http.StatusOK, wholeAnswer{
 		ID:      a.call.id,
 		Object:  "chat.completion",
 		Created: a.call.started.Unix(),
 		Model:   a.model,
 		Choices: []wholeChoice{{Message: message, FinishReason: a.finish}},
 		Usage:   a.usage,
-	}))
+	})
+	return nil
 }
 
 // OutcomeHeader says whether a refused request ran.
@@ -238,12 +242,13 @@
 	return ErrorBody{Error: ErrorDetail{Code: r.Code, Outcome: r.Outcome, Message: r.Message, RequestID: id}}
 }
 
-// refuse answers with a refusal.
+// refuse answers with a refusal. Write errors are dropped as in end.
 func refuse(c echo.Context, id string, r *entry.Refusal) error {
 	header := c.Response().Header()
 	header.Set(OutcomeHeader, string(r.Outcome))
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
-	return ignoreGone(c.JSON(r.Status, errorBody(id, r)))
+	_ = c.JSON(r.Status, errorBody(id, r))
+	return nil
 }
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -248,12 +248,8 @@
 		header[name] = values
 	}
 	c.echo.Response().WriteHeader(answer.Status)
-	_, err := c.echo.Response().Write(answer.Body)
-	return ignoreGone(err)
-}
-
-// ignoreGone drops write errors: the caller has gone and nothing can be told it.
-func ignoreGone(error) error {
+	// A write error means that the caller has gone; nothing can be told it.
+	_, _ = c.echo.Response().Write(answer.Body)
 	return nil
 }
 
--- a/internal/grants/client.go
+++ b/internal/grants/client.go
@@ -238,24 +238,20 @@
 
 // InFlight returns the number of requests of this daemon on a target.
 func (c *Client) InFlight(target string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := 0
-	for _, h := range c.held {
-		if h.target == target {
-			n++
-		}
-	}
-	return n
+	return c.countHeld(func(h *held) bool { return h.target == target })
 }
 
 // RunningInTier returns the number of requests of this daemon that run.
 func (c *Client) RunningInTier(tier int) int {
+	return c.countHeld(func(h *held) bool { return h.need.Tier == tier })
+}
+
+func (c *Client) countHeld(match func(*held) bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
 	for _, h := range c.held {
-		if h.need.Tier == tier {
+		if match(h) {
 			n++
 		}
 	}
