Record queue waits and each gap between tokens

Cause: the histogram of queue waits stayed empty, and that of token gaps held one average per request, which hides stalls.

Change: the entry reports the wait to the first grant, and the frontend each gap.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -190,7 +190,7 @@
 		Engines:  d.engines,
 		Plains:   plainservice.NewClient(),
 		Versions: versions{shares: d.shares},
-		Observer: &observer{lengths: d.lengths, moves: d.moves},
+		Observer: &observer{lengths: d.lengths, moves: d.moves, metrics: d.metrics},
 		Keys:     d.keys,
 		Suspects: d.suspects,
 		Retries:  budgets,
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -6,6 +6,7 @@
 	"github.com/marjoramflow/marjoramflow/entry"
 	"github.com/marjoramflow/marjoramflow/estimate"
 	"github.com/marjoramflow/marjoramflow/internal/moves"
+	"github.com/marjoramflow/marjoramflow/metrics"
 	"github.com/marjoramflow/marjoramflow/rollout"
 )
 
@@ -14,10 +15,14 @@
 type observer struct {
 	lengths *lengths
 	moves   *moves.Duty
+	metrics *metrics.Registry
 }
 
 // Attempt implements entry.Observer.
 func (o *observer) Attempt(a entry.Observation) {
+	if a.QueueWait > 0 {
+		o.metrics.Series(metrics.Labels{Tier: a.Tier, Account: a.Account, Service: a.Service}).QueueWait(a.QueueWait)
+	}
 	if a.Stopped {
 		return
 	}
--- a/daemon/record.go
+++ b/daemon/record.go
@@ -54,7 +54,9 @@
 	if m.FirstToken > 0 {
 		series.FirstToken(m.FirstToken)
 	}
-	if m.Tokens > 1 {
-		series.TokenGap((m.Total - m.FirstToken) / time.Duration(m.Tokens-1))
-	}
+}
+
+// TokenGap implements frontend.Recorder.
+func (r recorder) TokenGap(tier, account, service string, gap time.Duration) {
+	r.registry.Series(metrics.Labels{Tier: tier, Account: account, Service: service}).TokenGap(gap)
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -362,5 +362,8 @@
 	o.Route = r.Route
 	o.Version = c.version
 	o.Failed = err != nil && !o.Stopped
+	if c.attempts == 0 {
+		o.QueueWait = grant.At.Sub(r.Arrived)
+	}
 	c.entry.Observer.Attempt(o)
 }
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -25,6 +25,7 @@
 	// Key is the caller's Idempotency-Key; may be empty.
 	Key         string
 	Fingerprint uint64
+	Arrived     time.Time
 	Deadline    time.Time
 }
 
@@ -260,6 +261,7 @@
 	o.Route = r.Route.Name
 	o.Version = p.version
 	o.Plain = true
+	o.QueueWait = grant.At.Sub(r.Arrived)
 	o.Failed = err != nil && !o.Stopped
 	if answer != nil && answer.Status >= http.StatusInternalServerError {
 		o.Failed = true
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -43,6 +43,8 @@
 	CachedTokens int
 	// InFlight is the number of requests on the target, this one included.
 	InFlight int
+	// At is the time of the grant.
+	At time.Time
 	// Preempted is closed when the owner takes the grant back.
 	Preempted <-chan struct{}
 }
@@ -122,6 +124,8 @@
 	PromptTokens, CachedTokens, OutputTokens int
 	// Hardware is the target's hardware generation.
 	Hardware string
+	// QueueWait is the time from arrival to the first grant; 0 for later attempts.
+	QueueWait time.Duration
 	// Plain is set for calls of plain services, which have no first token.
 	Plain bool
 }
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -27,7 +27,9 @@
 	model      string
 	controller *http.ResponseController
 	started    bool
+	service    string
 	first      time.Duration
+	last       time.Time
 	tokens     int
 	text       strings.Builder
 	finish     *string
@@ -38,8 +40,9 @@
 	buffer []byte
 }
 
-func newAnswer(c *call, body *chatBody) *answer {
+func newAnswer(c *call, service string, body *chatBody) *answer {
 	return &answer{
+		service:    service,
 		call:       c,
 		stream:     body.Stream,
 		model:      body.Model,
@@ -57,9 +60,7 @@
 
 // Frame implements entry.Sink.
 func (a *answer) Frame(f *engine.Frame) error {
-	if a.first == 0 {
-		a.first = time.Since(a.call.started)
-	}
+	a.time()
 	if !f.Last {
 		a.tokens++
 	}
@@ -109,6 +110,18 @@
 	return nil
 }
 
+// time records the time to the first token and the gaps between tokens.
+func (a *answer) time() {
+	now := time.Now()
+	if a.first == 0 {
+		a.first = now.Sub(a.call.started)
+	} else {
+		caller := a.call.caller
+		a.call.server.Recorder.TokenGap(caller.Tier.Name, caller.Account.Name, a.service, now.Sub(a.last))
+	}
+	a.last = now
+}
+
 // collect appends a frame to the whole answer and notices a caller that has gone.
 func (a *answer) collect(f *engine.Frame) error {
 	choices, err := f.Parse()
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -66,7 +66,7 @@
 	if err := c.admit(request.Service.Name, request.PromptTokens+request.OutputTokens); err != nil {
 		return err
 	}
-	answer := newAnswer(c, typed)
+	answer := newAnswer(c, request.Service.Name, typed)
 	err = c.server.Runner.Chat(c.echo.Request().Context(), request, answer)
 	c.record(request.Service.Name, err, answer.first, answer.tokens)
 	if err == nil {
@@ -223,6 +223,7 @@
 		Body:        c.body,
 		Key:         r.Header.Get("Idempotency-Key"),
 		Fingerprint: c.fingerprint(match.Service.Name, r.URL.RequestURI()+"\x00"+string(c.body)),
+		Arrived:     c.started,
 		Deadline:    c.started.Add(c.timeout(match.Route)),
 	}
 	// A non-idempotent call that was dispatched is followed to its end also when
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -50,6 +50,8 @@
 // Recorder takes the measures of finished requests.
 type Recorder interface {
 	Request(m Measure)
+	// TokenGap takes the time between two tokens of a stream.
+	TokenGap(tier, account, service string, gap time.Duration)
 }
 
 // Measure describes one finished request.
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -363,6 +363,7 @@
 		Target:       *target,
 		CachedTokens: int(reply.CachedTokens),
 		InFlight:     int(reply.InFlight),
+		At:           time.Now(),
 		Preempted:    h.preempted,
 	}}
 }
