Refuse requests whose first token cannot come in time

owner.Request has FirstTokenBy, which the entry sets from the tier. A waiting request is refused when its predicted first token, with the prefill in progress on each target counted, comes later on every target, unless lower-tier work can be preempted for it. Accepted requests are exempt.

Victims are chosen by tier, then by the prefill that is lost, and a preempted request prefers the target that holds its prompt. With the earlier order (work in prefill first) most victims lost a long prompt and could not be in time after it.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -122,8 +122,7 @@
 // waits longer would only use up prefill for an answer that comes too late; once
 // it has run, it is followed to its deadline.
 func (c *chat) firstGrant(ctx context.Context) (*Grant, error) {
-	due := c.request.Arrived.Add(c.request.Caller.Tier.FirstToken)
-	ctx, cancel := context.WithDeadline(ctx, due)
+	ctx, cancel := context.WithDeadline(ctx, c.request.firstTokenBy())
 	defer cancel()
 	return c.entry.Grants.Reserve(ctx, c.need())
 }
@@ -144,9 +143,14 @@
 	return due
 }
 
+// firstTokenBy is the time by which the tier promises the first token.
+func (r *ChatRequest) firstTokenBy() time.Time {
+	return r.Arrived.Add(r.Caller.Tier.FirstToken)
+}
+
 func (c *chat) need() Need {
 	r := c.request
-	return Need{
+	need := Need{
 		ID:           attemptID(r.ID, c.failures),
 		Service:      r.Service.Name,
 		Version:      c.version,
@@ -163,6 +167,10 @@
 		Prefix:       r.Prefix,
 		Exclude:      c.exclude,
 	}
+	if c.attempts == 0 {
+		need.FirstTokenBy = r.firstTokenBy()
+	}
+	return need
 }
 
 // afterReserve turns a refused reservation into the caller's refusal.
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -25,6 +25,9 @@
 	// which a request that has run is followed.
 	Deadline time.Time
 	Final    time.Time
+	// FirstTokenBy is the time by which the first token has to come; zero is no
+	// bound.
+	FirstTokenBy time.Time
 	// Accepted is set once the request has run.
 	Accepted    bool
 	Preemptible bool
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -111,6 +111,13 @@
 	return m.engines[engineKey{version, hardware}].settled()
 }
 
+// Spread returns the factor by which predictions are stretched, see Prediction,
+// and whether enough was observed to refuse work on a prediction.
+func (m *Model) Spread(version, hardware string) (factor float64, settled bool) {
+	e := m.engines[engineKey{version, hardware}]
+	return e.spreadFactor(), e.settled()
+}
+
 // ObserveSpread compares the time that a request took with the prediction made
 // when it was dispatched.
 func (m *Model) ObserveSpread(version, hardware string, predicted, actual time.Duration) {
--- a/internal/compare/engine.go
+++ b/internal/compare/engine.go
@@ -80,6 +80,12 @@
 	return time.Duration(float64(steps+prefill) / e.speed)
 }
 
+// bestFirstToken is the time to the first token of a call whose prefill starts at
+// once.
+func (e *engine) bestFirstToken(c *call) time.Duration {
+	return time.Duration(float64(time.Duration(c.arrival.request.PromptTokens)*stepPerPrefill) / e.speed)
+}
+
 // couldYield reports whether work below the tier of a call runs or waits in the
 // engine that was not asked to stop, and stopping it would make room for the call
 // in the KV cache, with the room counted that the other requests were promised.
--- a/internal/compare/run.go
+++ b/internal/compare/run.go
@@ -131,6 +131,9 @@
 	c := &call{arrival: a, request: a.request, second: -1}
 	c.request.OutputTokens = s.lengths.OutputTokens("assistant", a.request.Account, a.maxTokens)
 	c.request.Deadline = s.now.Add(s.setup.Deadlines[a.request.Tier])
+	if s.setup.FirstToken > 0 {
+		c.request.FirstTokenBy = s.now.Add(s.setup.FirstToken)
+	}
 	s.calls[c.request.ID] = c
 	s.all = append(s.all, c)
 	s.active++
@@ -222,8 +225,10 @@
 func (s *simulation) complete(a *attempt) {
 	c := a.call
 	s.leave(c)
-	c.useful = a.prefilled
-	c.onTime = true
+	if by := c.request.FirstTokenBy; by.IsZero() || !c.firstAt.After(by) {
+		c.useful = a.prefilled
+		c.onTime = true
+	}
 	s.lengths.ObserveOutput("assistant", c.request.Account, c.maxTokens, c.output)
 	s.end(c)
 	s.release(c, a, owner.OutcomeDone)
@@ -338,6 +343,10 @@
 func (s *simulation) passedOver(c *call) bool {
 	for _, e := range s.engines {
 		best := e.bestTime(c)
+		if by := c.request.FirstTokenBy; !by.IsZero() {
+			// A start that is late for the first token is late for the answer.
+			best = max(best, c.request.Deadline.Sub(by)+e.bestFirstToken(c))
+		}
 		if e.group == c.group && e.gaveBelow(c, best) {
 			return true
 		}
--- a/internal/compare/setup.go
+++ b/internal/compare/setup.go
@@ -71,6 +71,9 @@
 	TierShares []float64
 	// Deadlines are the times allowed by tier.
 	Deadlines []time.Duration
+	// FirstToken is the time allowed until the first token; 0 is no bound. An
+	// answer whose first token comes later is not in time, and its prefill is wasted.
+	FirstToken time.Duration
 	// Warmup is the part of Length that the result leaves out.
 	Length, Warmup time.Duration
 	// Staleness is the age of the load reports of engines.
--- a/internal/grants/encode.go
+++ b/internal/grants/encode.go
@@ -21,6 +21,7 @@
 		OutputTokens: uint32(need.OutputTokens),
 		RemainingMs:  uint32(max(0, time.Until(need.Deadline).Milliseconds())),
 		FinalMs:      uint32(max(0, time.Until(need.Final).Milliseconds())),
+		FirstTokenMs: firstTokenLeft(need),
 		Accepted:     need.Accepted,
 		Preemptible:  need.Preemptible,
 		Fingerprint:  need.Fingerprint,
@@ -31,3 +32,12 @@
 		Plain:        need.Plain,
 	}
 }
+
+// firstTokenLeft returns the time left until the first token is due, at least
+// 1 ms, and 0 without a bound.
+func firstTokenLeft(need *entry.Need) uint32 {
+	if need.FirstTokenBy.IsZero() {
+		return 0
+	}
+	return uint32(max(1, time.Until(need.FirstTokenBy).Milliseconds()))
+}
--- a/internal/owners/messages.go
+++ b/internal/owners/messages.go
@@ -83,7 +83,7 @@
 }
 
 func request(now time.Time, from string, m *peerpb.Reserve) owner.Request {
-	return owner.Request{
+	r := owner.Request{
 		ID:           m.Id,
 		Entry:        from,
 		Service:      m.Service,
@@ -104,6 +104,10 @@
 		Fingerprint:  m.Fingerprint,
 		Prefix:       m.Prefix,
 	}
+	if m.FirstTokenMs > 0 {
+		r.FirstTokenBy = now.Add(time.Duration(m.FirstTokenMs) * time.Millisecond)
+	}
+	return r
 }
 
 // send turns decisions into messages. A grant that cannot be sent is taken back,
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -26,8 +26,8 @@
 
 // prediction is the expected course of a request on one target.
 type prediction struct {
-	firstToken, finish time.Duration
-	cached, ahead      int
+	prefillStart, firstToken, finish time.Duration
+	cached, ahead                    int
 }
 
 // dispatch grants waiting requests in order while targets have room.
@@ -63,6 +63,38 @@
 	}
 }
 
+// abandon refuses a request whose first token would come late on every target,
+// counting the prefill in progress there, unless lower-tier work could be
+// preempted for it or was preempted just now.
+func (g *Group) abandon(now time.Time, j *job) bool {
+	by := j.request.FirstTokenBy
+	if by.IsZero() || now.Sub(j.lastPreempt) < victimTimeout {
+		return false
+	}
+	class, _ := g.narrow(now, j)
+	usable := class.Possible & g.upMask()
+	alone := g.queue.CountUpTo(j.request.Tier) <= 1
+	for _, t := range g.targets {
+		if t.bit&usable == 0 {
+			continue
+		}
+		spread, settled := g.options.Model.Spread(j.request.Version, t.info.Hardware)
+		if alone {
+			spread = optimism
+		}
+		p := g.predictOn(now, &j.request, t)
+		if !settled || !now.Add(time.Duration(float64(p.firstToken)*spread)).After(by) {
+			return false
+		}
+	}
+	if g.idle() || g.hasVictims(j, usable) {
+		return false
+	}
+	g.observeWait(now, j)
+	g.refuse(j, ReasonExpired, retryAfter(g.queueWait(j, usable)))
+	return true
+}
+
 // setAside passes a request over until the end of the dispatch round.
 func (g *Group) setAside(j *job) {
 	j.passed++
@@ -86,7 +118,8 @@
 }
 
 // grant dispatches a waiting request to the best of the usable targets that it
-// fits on. It reports false when it fits on none.
+// fits on, or refuses it when its first token would be late on each target. It
+// reports false when it fits on none.
 func (g *Group) grant(now time.Time, j *job, usable uint64) bool {
 	c := &g.candidates
 	c.targets, c.views, c.starts = c.targets[:0], c.views[:0], c.starts[:0]
@@ -108,6 +141,9 @@
 	if len(c.targets) == 0 {
 		return false
 	}
+	if g.abandon(now, j) {
+		return true
+	}
 	t := c.targets[g.options.Picker.Pick(c.views)]
 	g.observeWait(now, j)
 	g.queue.Take(&j.item)
@@ -120,6 +156,7 @@
 func (g *Group) place(now time.Time, j *job, t *target) {
 	p := g.predictOn(now, &j.request, t)
 	j.granted = now
+	j.prefillStart = now.Add(p.prefillStart)
 	j.firstToken = now.Add(p.firstToken)
 	j.finish = now.Add(p.finish)
 	j.ahead = p.ahead
@@ -157,6 +194,7 @@
 	if len(t.running) >= t.info.Slots {
 		delay = max(delay, g.slotWait(t))
 	}
+	p.prefillStart = delay
 	p.firstToken += delay
 	p.finish += delay
 	return p
--- a/owner/job.go
+++ b/owner/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/admission"
+	"github.com/marjoramflow/marjoramflow/prefix"
 )
 
 // job is one request that waits or runs.
@@ -14,8 +15,8 @@
 	target *target
 	// granted is the time of the last grant.
 	granted time.Time
-	// firstToken and finish are predicted times of the running job.
-	firstToken, finish time.Time
+	// prefillStart, firstToken and finish are predicted times of the running job.
+	prefillStart, firstToken, finish time.Time
 	// ahead are tokens that the target prefills before this job.
 	ahead int
 	// cached is the expected cached prefix at the time of the grant.
@@ -26,6 +27,8 @@
 	kv int
 	// inBacklog marks a job that was granted while all slots were taken.
 	inBacklog bool
+	// home is the target that holds the prompt of a preempted job in its cache.
+	home *target
 	// preempting is set from the Preempt decision to the release.
 	preempting bool
 	// lastPreempt is the time at which work was last preempted for this job.
@@ -46,9 +49,20 @@
 	return j.request.Preemptible && !j.request.Plain && !j.preempting
 }
 
-// prefilling reports whether the job has probably not finished its prefill.
-func (j *job) prefilling(now time.Time) bool {
-	return now.Before(j.firstToken)
+// loss estimates the tokens that are prefilled in vain or again when the job is
+// preempted now and resumed where its prompt is cached.
+func (j *job) loss(now time.Time) int {
+	if !now.After(j.prefillStart) {
+		return 0
+	}
+	if now.Before(j.firstToken) {
+		done := float64(now.Sub(j.prefillStart)) / float64(j.firstToken.Sub(j.prefillStart))
+		return int(done * float64(j.request.PromptTokens-j.cached))
+	}
+	uncached := max(0, j.request.PromptTokens-len(j.request.Prefix)*prefix.BlockTokens)
+	decode := max(j.finish.Sub(j.firstToken), 1)
+	generated := float64(now.Sub(j.firstToken)) / float64(decode) * float64(j.request.OutputTokens)
+	return uncached + int(generated)
 }
 
 // victimList links the preemptible jobs of one tier on a target, newest last.
--- a/owner/predict.go
+++ b/owner/predict.go
@@ -81,18 +81,53 @@
 	return time.Duration(float64(p.Finish) * p.Spread), time.Duration(float64(p.Finish) * optimism)
 }
 
-// fastest returns the time that a request needs on the fastest target of a mask.
-func (g *Group) fastest(j *job, mask uint64) time.Duration {
-	need := time.Duration(-1)
+// startsBy returns the latest times at which a request may start on a target with
+// a full batch to be in time: almost certainly, and at best. Prefill that other
+// requests have in progress there is not counted, since it may be preempted.
+func (g *Group) startsBy(now time.Time, j *job, t *target) (sure, best time.Time) {
+	needed, least := g.neededOn(j, t)
+	sure, best = j.request.Deadline.Add(-needed), j.request.Deadline.Add(-least)
+	by := j.request.FirstTokenBy
+	if by.IsZero() {
+		return sure, best
+	}
+	p := g.options.Model.Predict(g.prefillOn(now, &j.request, t))
+	if !p.Settled {
+		return earlier(sure, by), earlier(best, by)
+	}
+	surely := time.Duration(float64(p.FirstToken) * p.Spread)
+	hopefully := time.Duration(float64(p.FirstToken) * optimism)
+	return earlier(sure, by.Add(-surely)), earlier(best, by.Add(-hopefully))
+}
+
+// prefillOn describes the prefill of a request without the part cached on a target.
+func (g *Group) prefillOn(now time.Time, r *Request, t *target) estimate.Job {
+	cached := min(t.index.Match(now, r.Prefix), max(r.PromptTokens-1, 0))
+	return estimate.Job{
+		Version:       r.Version,
+		Hardware:      t.info.Hardware,
+		PrefillTokens: r.PromptTokens - cached,
+		Batch:         max(t.info.Slots, 1),
+		Plain:         r.Plain,
+	}
+}
+
+// latestStart returns the latest time at which a request may start on some target
+// of a mask to be in time almost certainly.
+func (g *Group) latestStart(now time.Time, j *job, mask uint64) time.Time {
+	latest := time.Time{}
 	for _, t := range g.targets {
 		if t.bit&mask == 0 {
 			continue
 		}
-		if sure, _ := g.neededOn(j, t); need < 0 || sure < need {
-			need = sure
+		if sure, _ := g.startsBy(now, j, t); sure.After(latest) {
+			latest = sure
 		}
 	}
-	return max(need, 0)
+	if latest.IsZero() {
+		return j.request.Deadline
+	}
+	return latest
 }
 
 // chance says how likely a waiting request that starts now ends in time.
@@ -109,7 +144,6 @@
 // end late are only possible ones.
 func (g *Group) narrow(now time.Time, j *job) (admission.Class, chance) {
 	class := g.classOf(&j.request)
-	left := j.request.Deadline.Sub(now)
 	up, surely, hopeful := uint64(0), uint64(0), uint64(0)
 	for _, t := range g.targets {
 		if t.state == Up {
@@ -118,11 +152,11 @@
 		if t.bit&class.Targets == 0 {
 			continue
 		}
-		sure, best := g.neededOn(j, t)
-		if sure <= left {
+		sure, best := g.startsBy(now, j, t)
+		if !now.After(sure) {
 			surely |= t.bit
 		}
-		if best <= left {
+		if !now.After(best) {
 			hopeful |= t.bit
 		}
 	}
@@ -134,6 +168,11 @@
 		class.Targets = hopeful
 		return class, possible
 	}
+	if j.home != nil && j.home.bit&surely&up != 0 {
+		// Others of its tier go first elsewhere, where the whole prompt would be
+		// prefilled again.
+		class.Targets = j.home.bit
+	}
 	return class, likely
 }
 
@@ -167,7 +206,9 @@
 			Batch:         1,
 			Plain:         j.request.Plain,
 		})
-		if !now.Add(p.Finish).After(j.request.Deadline) {
+		by := j.request.FirstTokenBy
+		firstLate := !by.IsZero() && now.Add(p.FirstToken).After(by)
+		if !firstLate && !now.Add(p.Finish).After(j.request.Deadline) {
 			return false
 		}
 	}
--- a/owner/preempt.go
+++ b/owner/preempt.go
@@ -54,8 +54,7 @@
 }
 
 // preemptFor stops lower-tier work on one usable target until j has room there.
-// The first victim decides the target: work that has not finished its prefill comes
-// first, then the lowest tier, then the newest.
+// The first victim decides the target; see betterVictim.
 func (g *Group) preemptFor(now time.Time, j *job, usable uint64) {
 	var first *job
 	for _, t := range g.targets {
@@ -121,20 +120,26 @@
 func (t *target) nextVictim(now time.Time, tier int) *job {
 	var first *job
 	for _, list := range slices.Backward(t.victims[tier+1:]) {
-		if list.newest != nil && (first == nil || betterVictim(now, list.newest, first)) {
-			first = list.newest
+		for v := list.newest; v != nil; v = v.older {
+			if first == nil || betterVictim(now, v, first) {
+				first = v
+			}
+		}
+		if first != nil {
+			return first
 		}
 	}
-	return first
+	return nil
 }
 
-// betterVictim reports whether a is to be preempted before b.
+// betterVictim reports whether a is to be preempted before b: the lowest tier
+// first, then the least loss of prefill, then the newest.
 func betterVictim(now time.Time, a, b *job) bool {
-	if a.prefilling(now) != b.prefilling(now) {
-		return a.prefilling(now)
-	}
 	if a.request.Tier != b.request.Tier {
 		return a.request.Tier > b.request.Tier
 	}
+	if lossA, lossB := a.loss(now), b.loss(now); lossA != lossB {
+		return lossA < lossB
+	}
 	return a.granted.After(b.granted)
 }
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -61,6 +61,7 @@
 // deadline.
 func (j *job) accept() {
 	j.request.Accepted = true
+	j.request.FirstTokenBy = time.Time{}
 	if !j.request.Final.IsZero() {
 		j.request.Deadline = j.request.Final
 	}
@@ -86,6 +87,10 @@
 // were generated, because a resumed stream prefills them as well. It keeps its
 // time of arrival and is not charged again.
 func (g *Group) requeue(now time.Time, j *job, report Report) {
+	j.home = nil
+	if report.OutputTokens > 0 {
+		j.home = j.target
+	}
 	g.leaveTarget(j)
 	j.request.PromptTokens += report.OutputTokens
 	j.request.OutputTokens = max(j.request.OutputTokens-report.OutputTokens, 1)
@@ -146,7 +151,7 @@
 // lateness returns by how much the predicted wait exceeds what a request can
 // afford on the fastest of its targets.
 func (g *Group) lateness(now time.Time, j *job, usable uint64, wait time.Duration) time.Duration {
-	spare := j.request.Deadline.Sub(now) - g.fastest(j, usable)
+	spare := g.latestStart(now, j, usable).Sub(now)
 	return wait - time.Duration(headroom*float64(max(spare, 0)))
 }
 
@@ -210,7 +215,7 @@
 		return
 	}
 	g.queue.SetClass(&j.item, class)
-	urgent := !now.Before(g.urgentAt(j))
+	urgent := !now.Before(g.urgentAt(now, j))
 	patient := now.Sub(j.item.Arrived) < g.options.PreemptAfter
 	if victims && (urgent || !patient) && g.mayPreemptNow(now, j, urgent) {
 		g.preemptFor(now, j, usable)
@@ -247,7 +252,7 @@
 	} else if g.lowerRuns(j, j.item.Class.Targets&g.upMask()) {
 		consider(now.Add(preemptRetry))
 	}
-	urgent := g.urgentAt(j)
+	urgent := g.urgentAt(now, j)
 	consider(urgent)
 	if rescue := j.lastPreempt.Add(victimTimeout); !j.lastPreempt.IsZero() {
 		consider(rescue)
@@ -257,9 +262,9 @@
 	}
 	for _, t := range g.targets {
 		if t.bit&j.item.Class.Possible != 0 {
-			sure, best := g.neededOn(j, t)
-			consider(j.request.Deadline.Add(time.Nanosecond - sure))
-			consider(j.request.Deadline.Add(time.Nanosecond - best))
+			sure, best := g.startsBy(now, j, t)
+			consider(sure.Add(time.Nanosecond))
+			consider(best.Add(time.Nanosecond))
 		}
 	}
 	return next
@@ -267,8 +272,8 @@
 
 // urgentAt is the time from which a waiting request would be late on the fastest
 // of its targets, less the time in which a victim is stopped.
-func (g *Group) urgentAt(j *job) time.Time {
-	return j.request.Deadline.Add(-g.fastest(j, j.item.Class.Targets&g.upMask()) - urgentMargin)
+func (g *Group) urgentAt(now time.Time, j *job) time.Time {
+	return g.latestStart(now, j, j.item.Class.Targets&g.upMask()).Add(-urgentMargin)
 }
 
 // rearm makes all waiting requests look for victims again, after a change that
--- a/owner/types.go
+++ b/owner/types.go
@@ -44,6 +44,9 @@
 	// Deadline is the time by which the answer has to end, Final the time until
 	// which a request that has run is followed; the zero Final is Deadline.
 	Deadline, Final time.Time
+	// FirstTokenBy is the time by which the first token has to come; zero is no
+	// bound. It does not apply to an accepted request.
+	FirstTokenBy time.Time
 	// Accepted marks a request that has run before. It is not shed: its caller may
 	// have received a part of the answer.
 	Accepted bool
