--- a/bench/internal/cli/measure.go
+++ b/bench/internal/cli/measure.go
@@ -93,6 +93,7 @@
 	flags.IntSliceVar(&o.Targets, "targets", o.Targets, "numbers of configured targets")
 	flags.IntSliceVar(&o.Counts, "counts", o.Counts, "numbers of daemons")
 	flags.DurationVar(&o.Duration, "duration", o.Duration, "duration of each measurement")
+	flags.StringVar(&o.Profile, "profile", "", "existing directory for CPU profiles of the daemons")
 	flags.IntVar(&o.Processors, "processors", o.Processors, "GOMAXPROCS of the daemons; 0 is the machine's cores")
 	flags.Float64Var(&o.Rate, "rate", o.Rate, "requests per second and daemon under load")
 	flags.IntVar(&o.Publications, "publications", o.Publications, "publications that are timed")
--- a/bench/internal/demo/checks_test.go
+++ b/bench/internal/demo/checks_test.go
@@ -104,6 +104,9 @@
 		{"stream ended at its deadline without an overload", "ends", func(e *Evidence) {
 			e.Records = append(e.Records, expired(60))
 		}},
+		{"stream ended at its deadline in the burst", "ends", func(e *Evidence) {
+			e.Records = append(e.Records, expired(42))
+		}},
 		{"good version was reversed", "moves", func(e *Evidence) { e.Good.Phase = "reversed" }},
 		{"publication was late", "R9", func(e *Evidence) { e.Publications[0].Took = 5 * time.Second }},
 		{"publication failed", "R9", func(e *Evidence) { e.Publications[0].Err = "exit status 5" }},
--- a/bench/internal/demo/faultchecks.go
+++ b/bench/internal/demo/faultchecks.go
@@ -35,25 +35,23 @@
 // codeDeadline is the code of requests whose deadline passed.
 const codeDeadline = "deadline"
 
-// expiredStreams looks for streams that began and passed their tier's deadline,
-// and then ended with an explicit error event. Under an overload this happens:
-// streams of lower tiers are preempted for higher ones, and admission predicts
-// the length of answers by their mean. These are counted and do not break a
-// promise; outside the overload no stream may end so.
+// expiredStreams looks for streams that began and were ended at their tier's
+// deadline. A request that began is followed to its end: before that was so, the
+// burst ended about 25 preempted or slow streams with an error event.
 func (e *Evidence) expiredStreams() Finding {
 	f := Finding{Promise: "ends"}
-	expired := map[int]int{}
+	begun := 0
 	for i := range e.Records {
 		r := &e.Records[i]
-		if r.Kind != kindChat || r.Result.Code != codeDeadline || r.Result.Tokens == 0 {
+		if r.Kind != kindChat || r.Result.Tokens == 0 {
 			continue
 		}
-		expired[r.Rank]++
-		if !e.Burst.contains(r) {
+		begun++
+		if r.Result.Code == codeDeadline {
 			f.broken("%s of tier %d ended at its deadline after %d tokens, the first after %s", r.ID, r.Rank, r.Result.Tokens, r.Result.FirstToken)
 		}
 	}
-	f.Checked = fmt.Sprintf("begun streams that ended at their deadline with an error event, in the burst: %d gold, %d silver, %d bronze; outside it none", expired[0], expired[1], expired[2])
+	f.Checked = fmt.Sprintf("%d streams that began; none was ended at its deadline", begun)
 	return f
 }
 
--- a/bench/internal/measure/daemons.go
+++ b/bench/internal/measure/daemons.go
@@ -28,6 +28,8 @@
 	Targets []int
 	// Processors is GOMAXPROCS of the daemons; 0 leaves it at the machine's cores.
 	Processors int
+	// Profile is a directory for CPU profiles of the daemons; empty makes none.
+	Profile string
 }
 
 // DefaultDaemons is what make measure runs.
@@ -105,7 +107,16 @@
 	if row.inForce, err = publications(ctx, c, o.Publications); err != nil {
 		return row, err
 	}
-	return row, row.load(ctx, c, o)
+	if err := row.load(ctx, c, o); err != nil || o.Profile == "" {
+		return row, err
+	}
+	// Profiles are written at a graceful stop.
+	for _, d := range c.Daemons {
+		if err := d.Stop(time.Minute); err != nil {
+			return row, err
+		}
+	}
+	return row, nil
 }
 
 // startDaemons starts one data centre with few engines, which are quick.
@@ -115,7 +126,7 @@
 		return nil, err
 	}
 	dc := cluster.DataCentre{Name: "lhr-a", Region: "lahore", Daemons: n, Engines: []cluster.Engine{quickEngine, quickEngine, quickEngine, quickEngine}, Plains: 1}
-	spec := cluster.Spec{DataCentres: []cluster.DataCentre{dc}}
+	spec := cluster.Spec{DataCentres: []cluster.DataCentre{dc}, Profile: o.Profile}
 	if o.Processors > 0 {
 		spec.DaemonEnvironment = []string{fmt.Sprintf("GOMAXPROCS=%d", o.Processors)}
 	}
--- a/bench/internal/measure/owners.go
+++ b/bench/internal/measure/owners.go
@@ -36,6 +36,8 @@
 }
 
 func owners(ctx context.Context, programs cluster.Programs, o DaemonsOptions, n int) (use, time.Duration, error) {
+	// Only the runs by number of daemons are profiled; the names are the same.
+	o.Profile = ""
 	c, err := startDaemons(ctx, programs, o, ownersDaemons)
 	if err != nil {
 		return use{}, 0, err
