--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -356,12 +356,14 @@
 	c.mu.Lock()
 	delete(c.waiting, w.reserve.Id)
 	c.held[w.reserve.Id] = h
+	c.used[w.key] = w.owner
 	c.mu.Unlock()
 	return answer{grant: &entry.Grant{
 		Need:         w.need,
 		Target:       *target,
 		CachedTokens: int(reply.CachedTokens),
 		InFlight:     int(reply.InFlight),
+		At:           time.Now(),
 		Preempted:    h.preempted,
 	}}
 }
