grants: repeat the resync so that lost releases do not hold slots for ever

Cause: a release or cancellation that was lost with a session, or refused by a full send ring, was repaired by a resync only when the entry held another grant at that owner, and not when the lost grant was younger than the owner's 2 s grace. Ruled out: the owner's group, which drops what a resync does not list. Change: a resync lists every group that was asked, empty ones too; it is repeated 2.5 s after a session came up, an owner changed or a message could not be sent. A preempted request whose release could not be sent is reserved anew. A repeated grant reply for a grant in use is no longer given back. Messages of one link keep their order in the test; a trial that reorders them left a slot taken, since a resync that arrives after a later release registers the grant again.

--- a/internal/grants/client.go
+++ b/internal/grants/client.go
@@ -64,6 +64,10 @@
 	waiting map[string]*wait
 	held    map[string]*held
 	loads   map[topology.Key]*peerpb.GroupLoad
+	// owners are the last known owners of the groups that this daemon has asked.
+	owners map[topology.Key]string
+	// repairs are the owners for which a later resync is due.
+	repairs map[string]*time.Timer
 }
 
 // wait is a request that waits for a reply.
@@ -95,6 +99,9 @@
 		waiting: make(map[string]*wait),
 		held:    make(map[string]*held),
 		loads:   make(map[topology.Key]*peerpb.GroupLoad),
+
+		owners:  make(map[topology.Key]string),
+		repairs: make(map[string]*time.Timer),
 	}
 }
 
@@ -105,12 +112,13 @@
 	delete(c.held, grant.Need.ID)
 	c.mu.Unlock()
 	if h != nil {
-		c.sendRelease(h, grant, report)
+		// A release that could not be sent is repaired by a resync.
+		_ = c.sendRelease(h, grant, report)
 	}
 }
 
-func (c *Client) sendRelease(h *held, grant *entry.Grant, report entry.Report) {
-	c.send(h.owner, &peerpb.Release{
+func (c *Client) sendRelease(h *held, grant *entry.Grant, report entry.Report) error {
+	return c.send(h.owner, &peerpb.Release{
 		Id:           grant.Need.ID,
 		Service:      h.key.Service,
 		Group:        uint32(h.key.Number),
@@ -147,7 +155,10 @@
 	}
 	w := c.addWait(h.need, h.reserve, h.key, h.owner)
 	c.mu.Unlock()
-	c.sendRelease(h, grant, report)
+	if c.sendRelease(h, grant, report) != nil {
+		c.removeWait(w)
+		return c.Reserve(ctx, grant.Need)
+	}
 	reply := c.await(ctx, w, nil)
 	if reply.grant != nil {
 		return reply.grant, nil
@@ -184,9 +195,15 @@
 		c.mu.Unlock()
 		return
 	}
+	h := c.held[reply.Id]
 	c.mu.Unlock()
-	if reply.Outcome == peerpb.ReserveOutcome_RESERVE_GRANTED {
+	switch {
+	case reply.Outcome != peerpb.ReserveOutcome_RESERVE_GRANTED:
+	case h == nil || h.owner != from:
 		c.giveBack(from, reply)
+	case h.target != reply.Target:
+		// The owner took the request for a new one; it is told where it runs.
+		c.resync(from)
 	}
 }
 
@@ -195,7 +212,7 @@
 	if reply.Load == nil {
 		return
 	}
-	c.send(owner, &peerpb.CancelReserve{Id: reply.Id, Service: reply.Load.Service, Group: reply.Load.Group})
+	_ = c.send(owner, &peerpb.CancelReserve{Id: reply.Id, Service: reply.Load.Service, Group: reply.Load.Group})
 }
 
 func (c *Client) remember(key topology.Key, load *peerpb.GroupLoad) {
@@ -213,10 +230,14 @@
 	}
 }
 
-// send drops a message that cannot be sent: every message of this protocol is
-// repaired by a timeout or a resync.
-func (c *Client) send(to string, body any) {
-	_ = c.Sender.Send(to, envelope(body))
+// send drops a message that cannot be sent: a reserve is repaired by its timeout,
+// every other message by a resync.
+func (c *Client) send(to string, body any) error {
+	err := c.Sender.Send(to, envelope(body))
+	if err != nil {
+		c.resyncLater(to)
+	}
+	return err
 }
 
 func envelope(body any) *peerpb.Envelope {
--- a/internal/grants/move.go
+++ b/internal/grants/move.go
@@ -1,6 +1,10 @@
 package grants
 
 import (
+	"maps"
+	"slices"
+	"time"
+
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/topology"
 )
@@ -8,8 +12,9 @@
 // PlacesChanged is called after the topology changed: grants are registered
 // with the new owners of their groups, and waiting requests follow.
 func (c *Client) PlacesChanged() {
-	for _, resync := range c.reassign() {
-		c.send(resync.owner, resync.message)
+	for _, daemon := range c.reassign() {
+		c.resync(daemon)
+		c.resyncLater(daemon)
 	}
 }
 
@@ -28,8 +33,25 @@
 // SessionUp is called when a session with a daemon is up: it may have missed
 // releases, so it is told the grants that are held there.
 func (c *Client) SessionUp(daemon string) {
+	c.resync(daemon)
+	c.resyncLater(daemon)
+}
+
+// resyncDelay is the time after which a resync is repeated. Owners keep grants
+// that are younger than 2 s and not listed, since the grant and the list may have
+// crossed on the way; the repetition finds those that were lost.
+const resyncDelay = 2500 * time.Millisecond
+
+// resync tells a daemon the grants that are held in each of its groups. Groups
+// without grants are told as well: their releases may have been lost.
+func (c *Client) resync(daemon string) {
 	c.mu.Lock()
 	byKey := make(map[topology.Key]*peerpb.Resync)
+	for key, owner := range c.owners {
+		if owner == daemon {
+			byKey[key] = &peerpb.Resync{Service: key.Service, Group: uint32(key.Number)}
+		}
+	}
 	for _, h := range c.held {
 		if h.owner == daemon {
 			addHeld(byKey, h)
@@ -37,53 +59,86 @@
 	}
 	c.mu.Unlock()
 	for _, message := range byKey {
-		c.send(daemon, message)
+		_ = c.send(daemon, message)
 	}
 }
 
-// resync is a message for a new owner.
-type resync struct {
-	owner   string
-	message *peerpb.Resync
+// resyncLater repeats the resync with a daemon after resyncDelay, until it can be
+// sent or the daemon owns no group that was asked.
+func (c *Client) resyncLater(daemon string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if timer := c.repairs[daemon]; timer != nil && timer.Reset(resyncDelay) {
+		return
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(resyncDelay, func() {
+		c.mu.Lock()
+		if c.repairs[daemon] == timer {
+			delete(c.repairs, daemon)
+		}
+		c.mu.Unlock()
+		c.resync(daemon)
+	})
+	c.repairs[daemon] = timer
 }
 
-// reassign updates the owners of held grants and signals waiting requests.
-func (c *Client) reassign() []resync {
-	places := c.allPlaces()
+// noteOwner records the owner of a group that is asked. It follows the topology,
+// which may have changed since the group was chosen; the caller holds the lock.
+func (c *Client) noteOwner(pick choice) {
+	if _, known := c.owners[pick.key]; known {
+		return
+	}
+	c.owners[pick.key] = pick.owner
+	if now := ownerIn(c.allPlaces(), pick.key); now != "" {
+		c.owners[pick.key] = now
+	}
+}
+
+// reassign updates the owners of groups and held grants, signals waiting requests
+// and returns the daemons that became owners.
+func (c *Client) reassign() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed := make(map[topology.Key]*peerpb.Resync)
-	owners := make(map[topology.Key]string)
+	places := c.allPlaces()
+	changed := make(map[string]bool)
+	for key, last := range c.owners {
+		next := ownerIn(places, key)
+		switch {
+		case next != "" && next != last:
+			c.owners[key] = next
+			changed[next] = true
+		case key.Number < FallbackGroup && groupIn(places, key) == nil:
+			delete(c.owners, key)
+		}
+	}
 	for _, h := range c.held {
-		next := ownerIn(places, h.key)
-		if next == "" || next == h.owner {
-			continue
+		if next := ownerIn(places, h.key); next != "" && next != h.owner {
+			h.owner = next
+			changed[next] = true
 		}
-		h.owner = next
-		owners[h.key] = next
-		addHeld(changed, h)
 	}
 	for _, w := range c.waiting {
 		if next := ownerIn(places, w.key); next != "" && next != w.owner {
 			w.signalMoved()
 		}
 	}
-	out := make([]resync, 0, len(changed))
-	for key, message := range changed {
-		out = append(out, resync{owner: owners[key], message: message})
-	}
-	return out
+	return slices.Collect(maps.Keys(changed))
 }
 
-func ownerIn(places []*topology.Topology, key topology.Key) string {
+func groupIn(places []*topology.Topology, key topology.Key) *topology.Group {
 	for _, place := range places {
-		if place.DataCentre != key.DataCentre {
-			continue
-		}
-		if group := place.Group(key); group != nil {
-			return group.Owner
+		if place.DataCentre == key.DataCentre {
+			return place.Group(key)
 		}
 	}
+	return nil
+}
+
+func ownerIn(places []*topology.Topology, key topology.Key) string {
+	if group := groupIn(places, key); group != nil {
+		return group.Owner
+	}
 	return ""
 }
 
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -240,7 +240,7 @@
 		if !result.moved || ctx.Err() != nil {
 			return result
 		}
-		group := c.currentGroup(pick.key)
+		group := groupIn(c.allPlaces(), pick.key)
 		if group == nil || group.Owner == "" {
 			return answer{silent: true}
 		}
@@ -249,15 +249,6 @@
 	return answer{silent: true}
 }
 
-func (c *Client) currentGroup(key topology.Key) *topology.Group {
-	for _, place := range c.allPlaces() {
-		if place.DataCentre == key.DataCentre {
-			return place.Group(key)
-		}
-	}
-	return nil
-}
-
 func (c *Client) allPlaces() []*topology.Topology {
 	places := []*topology.Topology{c.Places.Local()}
 	places = append(places, c.Places.Nearby()...)
@@ -268,6 +259,7 @@
 	reserve := encode(need, pick)
 	c.mu.Lock()
 	w := c.addWait(*need, reserve, pick.key, pick.owner)
+	c.noteOwner(pick)
 	c.mu.Unlock()
 	if err := c.Sender.Send(pick.owner, envelope(reserve)); err != nil {
 		c.removeWait(w)
@@ -329,7 +321,7 @@
 // by onReply.
 func (c *Client) cancel(w *wait) {
 	c.removeWait(w)
-	c.send(w.owner, &peerpb.CancelReserve{Id: w.reserve.Id, Service: w.key.Service, Group: uint32(w.key.Number)})
+	_ = c.send(w.owner, &peerpb.CancelReserve{Id: w.reserve.Id, Service: w.key.Service, Group: uint32(w.key.Number)})
 }
 
 // take handles one reply and says whether it is the final one.
