engine: do not follow redirects

Cause: the engine client used Go's default, which sends the body of a 307 answer to the other address and so may run a chat on a target without a grant.

--- a/engine/client.go
+++ b/engine/client.go
@@ -46,7 +46,11 @@
 		MaxIdleConnsPerHost: maxIdlePerTarget,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: &http.Client{
+		Transport: transport,
+		// A redirect would run the request a second time elsewhere.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // DroppedFrames returns the number of frames that named another attempt.
--- /dev/null
+++ b/plainservice/client_test.go
@@ -0,0 +1,157 @@
+package plainservice
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/attempt"
+)
+
+// breakingTarget answers the first request of a connection and breaks the
+// connection on the second, after it has read and run it.
+func breakingTarget(t *testing.T) (address string, runs *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	runs = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				for n := range 2 {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if request.Header.Get("Idempotency-Key") != "" {
+						runs.Add(1)
+					}
+					if n == 0 {
+						fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), runs
+}
+
+func keyed(address string) *Call {
+	return &Call{ID: "r", Target: "t", Address: address, Method: http.MethodPost, Path: "/", Header: http.Header{"Idempotency-Key": {"k"}}}
+}
+
+// Guards against a keyed call that runs twice because the transport sends it
+// again when a reused connection breaks. The first part shows that a transport
+// with connection reuse does so.
+func TestBrokenConnectionDoesNotSendTwice(t *testing.T) {
+	for _, reuse := range []bool{true, false} {
+		address, runs := breakingTarget(t)
+		c := NewClient()
+		if reuse {
+			c.fresh = c.pooled
+		}
+		first := keyed(address)
+		first.Header = nil
+		first.Idempotent = true
+		_, err := c.Do(t.Context(), first)
+		assert.NilError(t, err)
+		_, _ = c.Do(t.Context(), keyed(address))
+		want := int64(1)
+		if reuse {
+			want = 2
+		}
+		assert.Equal(t, runs.Load(), want, "reuse %v", reuse)
+	}
+}
+
+// Guards against a call that runs a second time elsewhere by a redirect, and
+// against the caller's token and connection headers at the target.
+func TestRedirectsAndHeaders(t *testing.T) {
+	var elsewhere atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { elsewhere.Add(1) }))
+	defer other.Close()
+	var got http.Header
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		http.Redirect(w, r, other.URL, http.StatusTemporaryRedirect)
+	}))
+	defer target.Close()
+	call := keyed(target.Listener.Addr().String())
+	call.Version = "v2"
+	call.Header.Set("Authorization", "Bearer x")
+	call.Header.Set("X-Kept", "yes")
+	for _, name := range hopHeaders {
+		call.Header.Set(name, "x")
+	}
+	for _, idempotent := range []bool{false, true} {
+		call.Idempotent = idempotent
+		answer, err := NewClient().Do(t.Context(), call)
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Status, http.StatusTemporaryRedirect)
+		for _, name := range append([]string{"Authorization"}, hopHeaders...) {
+			if name != "Connection" { // Go sets "close" on connections that are not reused
+				assert.Equal(t, got.Get(name), "", name)
+			}
+		}
+		assert.Assert(t, got.Get("Connection") != "x")
+		assert.Equal(t, got.Get("X-Kept")+got.Get("X-Request-Id")+got.Get(VersionHeader)+got.Get("Idempotency-Key"), "yesrv2k")
+	}
+	assert.Equal(t, elsewhere.Load(), int64(0))
+	assert.Equal(t, call.Header.Get("Authorization"), "Bearer x")
+}
+
+// Guards against a kind that says "not sent" of a request that may have run.
+func TestKindsOfFailures(t *testing.T) {
+	canceled, cancel := context.WithCancel(t.Context())
+	expired, expire := context.WithTimeout(t.Context(), 0)
+	defer expire()
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	cases := []struct {
+		name    string
+		ctx     context.Context
+		handler http.HandlerFunc
+		kind    attempt.Kind
+	}{
+		{"refused", t.Context(), nil, attempt.NotSent},
+		{"expired before", expired, func(http.ResponseWriter, *http.Request) {}, attempt.NotSent},
+		{"broken", t.Context(), func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, attempt.MaybeSent},
+		{"cut", t.Context(), func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			fmt.Fprint(w, "half")
+		}, attempt.Cut},
+		{"too large", t.Context(), func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, strings.Repeat("x", MaxAnswerBytes+1))
+		}, attempt.Cut},
+		{"canceled", canceled, func(_ http.ResponseWriter, r *http.Request) {
+			cancel()
+			<-r.Context().Done()
+		}, attempt.Canceled},
+	}
+	for _, c := range cases {
+		server := closed
+		if c.handler != nil {
+			server = httptest.NewServer(c.handler)
+		}
+		_, err := NewClient().Do(c.ctx, keyed(server.Listener.Addr().String()))
+		assert.Equal(t, attempt.KindOf(err), c.kind, c.name)
+		var failed *attempt.Error
+		assert.Assert(t, errors.As(err, &failed) && failed.Target == "t")
+		server.Close()
+	}
+}
