--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -63,38 +63,6 @@
 	}
 }
 
-// abandon refuses a request whose first token would come late on every target,
-// counting the prefill in progress there, unless lower-tier work could be
-// preempted for it or was preempted just now.
-func (g *Group) abandon(now time.Time, j *job) bool {
-	by := j.request.FirstTokenBy
-	if by.IsZero() || now.Sub(j.lastPreempt) < victimTimeout {
-		return false
-	}
-	class, _ := g.narrow(now, j)
-	usable := class.Possible & g.upMask()
-	alone := g.queue.CountUpTo(j.request.Tier) <= 1
-	for _, t := range g.targets {
-		if t.bit&usable == 0 {
-			continue
-		}
-		spread, settled := g.options.Model.Spread(j.request.Version, t.info.Hardware)
-		if alone {
-			spread = optimism
-		}
-		p := g.predictOn(now, &j.request, t)
-		if !settled || !now.Add(time.Duration(float64(p.firstToken)*spread)).After(by) {
-			return false
-		}
-	}
-	if g.idle() || g.hasVictims(j, usable) {
-		return false
-	}
-	g.observeWait(now, j)
-	g.refuse(j, ReasonExpired, retryAfter(g.queueWait(j, usable)))
-	return true
-}
-
 // setAside passes a request over until the end of the dispatch round.
 func (g *Group) setAside(j *job) {
 	j.passed++
@@ -141,8 +109,8 @@
 	if len(c.targets) == 0 {
 		return false
 	}
-	if g.abandon(now, j) {
-		return true
+	if !g.keepTimely(now, j) {
+		return g.abandon(now, j)
 	}
 	t := c.targets[g.options.Picker.Pick(c.views)]
 	g.observeWait(now, j)
