--- /dev/null
+++ b/bench/e2e/target_test.go
@@ -0,0 +1,190 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/bench/internal/caller"
+	"github.com/marjoramflow/marjoramflow/bench/internal/cluster"
+	"github.com/marjoramflow/marjoramflow/bench/standin/engine"
+	"github.com/marjoramflow/marjoramflow/bench/standin/faults"
+	"github.com/marjoramflow/marjoramflow/platform"
+)
+
+const (
+	// streamTokens bound a stream to about two seconds on a fast engine.
+	streamTokens = 200
+	// leastTokens are the tokens that each stream has at least; the length of an
+	// answer depends on its prompt.
+	leastTokens = 120
+)
+
+// longPrompts returns prompts whose answers are long.
+func longPrompts(count int) []string {
+	var prompts []string
+	for i := 0; len(prompts) < count; i++ {
+		prompt := fmt.Sprintf("long question %d", i)
+		text := engine.PromptText([]engine.Message{{Role: "user", Content: prompt}})
+		if engine.AnswerTokens(text, streamTokens) >= leastTokens {
+			prompts = append(prompts, prompt)
+		}
+	}
+	return prompts
+}
+
+// streams are long chats that run at the same time.
+type streams struct {
+	group   sync.WaitGroup
+	results []caller.Result
+	tokens  []atomic.Int32
+}
+
+// startStreams starts so many long chats, in turn through all daemons.
+func startStreams(ctx context.Context, c *cluster.Cluster, count int) *streams {
+	client := newCaller("clerks")
+	s := &streams{results: make([]caller.Result, count), tokens: make([]atomic.Int32, count)}
+	for i, prompt := range longPrompts(count) {
+		d := c.Daemons[i%len(c.Daemons)]
+		chat := caller.Chat{Service: cluster.ModelService, Prompt: prompt, MaxTokens: streamTokens}
+		chat.OnToken = func() { s.tokens[i].Add(1) }
+		s.group.Go(func() { s.results[i] = client.Chat(ctx, d.Callers, chat) })
+	}
+	return s
+}
+
+func (s *streams) wait() []caller.Result {
+	s.group.Wait()
+	return s.results
+}
+
+// waitTokens waits until every stream has so many tokens.
+func (s *streams) waitTokens(ctx context.Context, t *testing.T, count int32) {
+	t.Helper()
+	err := cluster.Until(ctx, 10*time.Second, func(context.Context) error {
+		for i := range s.tokens {
+			if got := s.tokens[i].Load(); got < count {
+				return fmt.Errorf("stream %d has %d tokens", i, got)
+			}
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+}
+
+// twoFastEngines has room for all streams on one of the engines.
+func twoFastEngines(daemons int) cluster.Spec {
+	spec := cluster.OneDataCentre(daemons)
+	spec.DataCentres[0].Engines = []cluster.Engine{cluster.FastEngine, cluster.FastEngine}
+	return spec
+}
+
+func assertAllWhole(t *testing.T, results []caller.Result) {
+	t.Helper()
+	for i, r := range results {
+		assert.Check(t, r.Outcome == caller.Whole, "request %d: %+v", i, r)
+	}
+}
+
+// resumed counts the streams that an engine continued past their first token.
+func resumed(t *testing.T, s *cluster.Server) int {
+	t.Helper()
+	var list []engine.Execution
+	assert.NilError(t, s.Get(t.Context(), "/v1/executions", &list))
+	count := 0
+	for _, e := range list {
+		if e.From > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against streams that end short, start over or are refused when the
+// target that sends them is killed.
+func TestKilledTargetStreamsAreResumed(t *testing.T) {
+	ctx, c := start(t, twoFastEngines(2))
+	s := startStreams(ctx, c, 8)
+	s.waitTokens(ctx, t, 5)
+	c.Engines[0].Kill()
+	assertAllWhole(t, s.wait())
+	assert.Assert(t, resumed(t, c.Engines[1]) > 0)
+}
+
+// Guards against streams that wait for ever on a target that is frozen with its
+// connections open.
+func TestFrozenTargetStreamsAreResumed(t *testing.T) {
+	ctx, c := start(t, twoFastEngines(2))
+	s := startStreams(ctx, c, 8)
+	s.waitTokens(ctx, t, 5)
+	assert.NilError(t, c.Engines[0].Freeze())
+	results := s.wait()
+	assert.NilError(t, c.Engines[0].Thaw())
+	assertAllWhole(t, results)
+	for i, r := range results {
+		assert.Check(t, r.Total < 10*time.Second, "stream %d took %s", i, r.Total)
+	}
+	assert.Assert(t, resumed(t, c.Engines[1]) > 0)
+}
+
+// Guards against new requests that wait on idle connections to a target that
+// went silent: the target was used before, then every connection freezes.
+func TestTargetWithSilentConnections(t *testing.T) {
+	ctx, c := start(t, twoFastEngines(2))
+	askEach(ctx, t, c.Daemons, "warm")
+	assert.NilError(t, c.Engines[0].SetFaults(ctx, faults.Switches{Freeze: true}))
+	client := newCaller("clerks")
+	for i := range 12 {
+		d := c.Daemons[i%2]
+		r := client.Chat(ctx, d.Callers, caller.Chat{Service: cluster.ModelService, Prompt: fmt.Sprintf("question %d", i), MaxTokens: 8})
+		assert.Equal(t, r.Outcome, caller.Whole, "%+v", r)
+		assert.Assert(t, r.Total < 10*time.Second, "request %d took %s", i, r.Total)
+	}
+}
+
+// assertNoNewWork marks the first engine as leaving and requires that it admits
+// nothing after the bound of 3 s, and that nothing is cut.
+func assertNoNewWork(t *testing.T, mark func(context.Context, *cluster.Cluster) error) {
+	t.Helper()
+	ctx, c := start(t, twoFastEngines(2))
+	l := startLoad(ctx, c, 4)
+	names := []string{c.Daemons[0].Name, c.Daemons[1].Name}
+	assert.NilError(t, l.wait(ctx, names, 5))
+	assert.Assert(t, admitted(t, c.Engines[0]) > 0)
+	assert.NilError(t, mark(ctx, c))
+	time.Sleep(3 * time.Second) // the bound of R7
+	atBound := admitted(t, c.Engines[0])
+	before := l.count(names[0])
+	assert.NilError(t, l.wait(ctx, names[:1], before+20))
+	assert.Check(t, admitted(t, c.Engines[0]) == atBound, "%d requests admitted after the bound", admitted(t, c.Engines[0])-atBound)
+	for _, results := range l.stop() {
+		assertAllWhole(t, results)
+	}
+}
+
+// Guards against new work for a target that says in its health answer that it is
+// leaving.
+func TestTargetLeavingByHealthGetsNoNewWork(t *testing.T) {
+	assertNoNewWork(t, func(ctx context.Context, c *cluster.Cluster) error {
+		return c.Engines[0].SetFaults(ctx, faults.Switches{Leaving: true})
+	})
+}
+
+// Guards against new work for a target that the platform's VM list marks as
+// leaving.
+func TestTargetLeavingByVMListGetsNoNewWork(t *testing.T) {
+	assertNoNewWork(t, func(ctx context.Context, c *cluster.Cluster) error {
+		vms := c.VMs()
+		for i := range vms {
+			if vms[i].Name == c.Engines[0].Name {
+				vms[i].State = platform.VMLeaving
+			}
+		}
+		return c.PutVMs(ctx, vms)
+	})
+}
--- a/bench/internal/caller/caller.go
+++ b/bench/internal/caller/caller.go
@@ -80,6 +80,8 @@
 	MaxTokens int
 	// ID is the request id; the daemon makes one when it is empty.
 	ID string
+	// OnToken is called after each token of the answer, if it is set.
+	OnToken func()
 }
 
 type chatBody struct {
@@ -117,7 +119,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp, started)
 	}
-	result := c.readStream(resp.Body, started, engine.Answer(messages, chat.MaxTokens))
+	result := c.readStream(resp.Body, started, engine.Answer(messages, chat.MaxTokens), chat.OnToken)
 	result.Status = resp.StatusCode
 	result.Total = time.Since(started)
 	return result
@@ -153,7 +155,7 @@
 }
 
 // readStream reads server-sent events and compares the text with want.
-func (c *Client) readStream(body io.Reader, started time.Time, want string) Result {
+func (c *Client) readStream(body io.Reader, started time.Time, want string, onToken func()) Result {
 	var r Result
 	var text strings.Builder
 	last := started
@@ -184,6 +186,9 @@
 			r.stamp(token, started, now)
 		}
 		r.Tokens++
+		if onToken != nil {
+			onToken()
+		}
 		if r.FirstToken == 0 {
 			r.FirstToken = now.Sub(started)
 		} else if c.KeepGaps {
