--- a/entry/chat.go
+++ b/entry/chat.go
@@ -53,8 +53,10 @@
 
 // chat is the state of one request between attempts.
 type chat struct {
-	entry    *Entry
-	request  *ChatRequest
+	entry   *Entry
+	request *ChatRequest
+	// run names this run of the request in reservations.
+	run      string
 	sink     Sink
 	version  string
 	suspect  bool
@@ -66,6 +68,8 @@
 	attempts int
 	failures int
 	losses   losses
+	// mayHaveRun is set once a target may have run an attempt.
+	mayHaveRun bool
 }
 
 // Chat runs a request to its end. It returns nil when the whole answer went to
@@ -78,7 +82,7 @@
 		return quarantinedRefusal()
 	}
 	e.Retries.Request(r.Service.Name)
-	c := &chat{entry: e, request: r, sink: sink, suspect: suspect, version: e.Versions.Pick(r.Service)}
+	c := &chat{entry: e, request: r, run: e.newRun(), sink: sink, suspect: suspect, version: e.Versions.Pick(r.Service)}
 	return c.runToEnd(ctx)
 }
 
@@ -87,9 +91,10 @@
 func (c *chat) runToEnd(ctx context.Context) error {
 	grant, err := c.firstGrant(ctx)
 	for err == nil {
-		report, runErr := c.run(ctx, grant)
+		report, runErr := c.runAttempt(ctx, grant)
 		if errors.Is(runErr, errPreempted) {
 			c.attempts++
+			c.mayHaveRun = true
 			grant, err = c.regrant(ctx, grant, report)
 			continue
 		}
@@ -122,8 +127,7 @@
 // waits longer would only use up prefill for an answer that comes too late; once
 // it has run, it is followed to its deadline.
 func (c *chat) firstGrant(ctx context.Context) (*Grant, error) {
-	due := c.request.Arrived.Add(c.request.Caller.Tier.FirstToken)
-	ctx, cancel := context.WithDeadline(ctx, due)
+	ctx, cancel := context.WithDeadline(ctx, c.request.firstTokenBy())
 	defer cancel()
 	return c.entry.Grants.Reserve(ctx, c.need())
 }
@@ -144,10 +148,15 @@
 	return due
 }
 
+// firstTokenBy is the time by which the tier promises the first token.
+func (r *ChatRequest) firstTokenBy() time.Time {
+	return r.Arrived.Add(r.Caller.Tier.FirstToken)
+}
+
 func (c *chat) need() Need {
 	r := c.request
-	return Need{
-		ID:           attemptID(r.ID, c.failures),
+	need := Need{
+		ID:           attemptID(c.run, c.failures),
 		Service:      r.Service.Name,
 		Version:      c.version,
 		Account:      r.Caller.Account.Name,
@@ -163,6 +172,10 @@
 		Prefix:       r.Prefix,
 		Exclude:      c.exclude,
 	}
+	if c.attempts == 0 {
+		need.FirstTokenBy = r.firstTokenBy()
+	}
+	return need
 }
 
 // afterReserve turns a refused reservation into the caller's refusal.
@@ -177,8 +190,8 @@
 	return refusal
 }
 
-// run streams one attempt to the sink.
-func (c *chat) run(ctx context.Context, grant *Grant) (Report, error) {
+// runAttempt streams one attempt to the sink.
+func (c *chat) runAttempt(ctx context.Context, grant *Grant) (Report, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := c.watchPreemption(ctx, cancel, grant)
@@ -252,7 +265,7 @@
 
 func (c *chat) call(grant *Grant) *engine.Call {
 	return &engine.Call{
-		ID:           attemptID(c.request.ID, c.attempts),
+		ID:           c.request.ID + "." + attemptID(c.run, c.attempts),
 		Target:       grant.Target.Name,
 		Address:      grant.Target.Address,
 		Model:        c.request.Model(c.version),
@@ -296,14 +309,17 @@
 	case ctx.Err() != nil:
 		return false, &Refusal{Status: http.StatusGatewayTimeout, Code: CodeDeadline, Outcome: Unknown, Message: "the deadline passed", Err: err}
 	case attempt.KindOf(err) == attempt.Rejected:
-		return false, rejected(err)
+		return false, c.rejected(err)
 	}
 	return c.retry(ctx, grant, err)
 }
 
 // rejected passes on that an engine found the request at fault.
-func rejected(err error) *Refusal {
+func (c *chat) rejected(err error) *Refusal {
 	r := Refuse(http.StatusBadRequest, CodeBadRequest, "the engine rejected the request")
+	if c.mayHaveRun {
+		r.Outcome = Unknown
+	}
 	r.Err = err
 	return r
 }
@@ -316,7 +332,8 @@
 	a := describe(err)
 	a.Tokens = c.next
 	a.Number = c.failures
-	a.EarlierMayHaveRun = c.failures > 1
+	a.EarlierMayHaveRun = c.mayHaveRun
+	c.mayHaveRun = c.mayHaveRun || a.MayHaveRun()
 	a.Resumable = true
 	a.Remaining = time.Until(c.request.final())
 	action := c.entry.Retries.Decide(service.Name, a)
@@ -353,5 +370,8 @@
 	o.Route = r.Route
 	o.Version = c.version
 	o.Failed = err != nil && !o.Stopped
+	if c.attempts == 0 {
+		o.QueueWait = grant.At.Sub(r.Arrived)
+	}
 	c.entry.Observer.Attempt(o)
 }
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -25,6 +25,9 @@
 	// which a request that has run is followed.
 	Deadline time.Time
 	Final    time.Time
+	// FirstTokenBy is the time by which the first token has to come; zero is no
+	// bound.
+	FirstTokenBy time.Time
 	// Accepted is set once the request has run.
 	Accepted    bool
 	Preemptible bool
@@ -43,6 +46,8 @@
 	CachedTokens int
 	// InFlight is the number of requests on the target, this one included.
 	InFlight int
+	// At is the time of the grant.
+	At time.Time
 	// Preempted is closed when the owner takes the grant back.
 	Preempted <-chan struct{}
 }
@@ -122,6 +127,8 @@
 	PromptTokens, CachedTokens, OutputTokens int
 	// Hardware is the target's hardware generation.
 	Hardware string
+	// QueueWait is the time from arrival to the first grant; 0 for later attempts.
+	QueueWait time.Duration
 	// Plain is set for calls of plain services, which have no first token.
 	Plain bool
 }
@@ -142,6 +149,17 @@
 	Finished(fingerprint uint64)
 }
 
+// Hedges decides whether an idempotent call that has no answer yet is sent to a
+// second target.
+type Hedges interface {
+	// Observe records the time of an answered call of a class.
+	Observe(class string, took time.Duration)
+	// Delay returns the time after which a call is hedged; false is never.
+	Delay(class string) (time.Duration, bool)
+	// Try takes one hedge from the retry budget of the service.
+	Try(service string, h retry.Hedge) bool
+}
+
 // Retries decides about further attempts within the retry budget of a service.
 type Retries interface {
 	// Request counts a first attempt.
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -27,7 +27,9 @@
 	model      string
 	controller *http.ResponseController
 	started    bool
+	service    string
 	first      time.Duration
+	last       time.Time
 	tokens     int
 	text       strings.Builder
 	finish     *string
@@ -38,8 +40,9 @@
 	buffer []byte
 }
 
-func newAnswer(c *call, body *chatBody) *answer {
+func newAnswer(c *call, service string, body *chatBody) *answer {
 	return &answer{
+		service:    service,
 		call:       c,
 		stream:     body.Stream,
 		model:      body.Model,
@@ -57,9 +60,7 @@
 
 // Frame implements entry.Sink.
 func (a *answer) Frame(f *engine.Frame) error {
-	if a.first == 0 {
-		a.first = time.Since(a.call.started)
-	}
+	a.time()
 	if !f.Last {
 		a.tokens++
 	}
@@ -109,6 +110,18 @@
 	return nil
 }
 
+// time records the time to the first token and the gaps between tokens.
+func (a *answer) time() {
+	now := time.Now()
+	if a.first == 0 {
+		a.first = now.Sub(a.call.started)
+	} else {
+		caller := a.call.caller
+		a.call.server.Recorder.TokenGap(caller.Tier.Name, caller.Account.Name, a.service, now.Sub(a.last))
+	}
+	a.last = now
+}
+
 // collect appends a frame to the whole answer and notices a caller that has gone.
 func (a *answer) collect(f *engine.Frame) error {
 	choices, err := f.Parse()
@@ -171,11 +184,13 @@
 }
 
 // end closes the answer. A stream that began and failed ends with an explicit
-// error event, never silently.
+// error event, never silently. Write errors are dropped: the caller has gone, and
+// nothing can be told it.
 func (a *answer) end(err error) error {
 	switch {
 	case err == nil && a.stream:
-		return ignoreGone(a.write("[DONE]"))
+		_ = a.write("[DONE]")
+		return nil
 	case err == nil:
 		return a.whole()
 	case !a.started:
@@ -183,7 +198,8 @@
 	}
 	refusal := entry.AsRefusal(err)
 	a.call.server.Logger.EmitError(eventlog.RequestFailed, err, eventlog.Fields{"request": a.call.id, "code": string(refusal.Code)})
-	return ignoreGone(a.send(errorBody(a.call.id, refusal)))
+	_ = a.send(errorBody(a.call.id, refusal))
+	return nil
 }
 
 type wholeMessage struct {
@@ -208,14 +224,15 @@
 
 func (a *answer) whole() error {
 	message := wholeMessage{Role: "assistant", Content: a.text.String()}
-	return ignoreGone(a.call.echo.JSON(http.StatusOK, wholeAnswer{
+	_ = a.call.echo.JSON(http.StatusOK, wholeAnswer{
 		ID:      a.call.id,
 		Object:  "chat.completion",
 		Created: a.call.started.Unix(),
 		Model:   a.model,
 		Choices: []wholeChoice{{Message: message, FinishReason: a.finish}},
 		Usage:   a.usage,
-	}))
+	})
+	return nil
 }
 
 // OutcomeHeader says whether a refused request ran.
@@ -238,12 +255,13 @@
 	return ErrorBody{Error: ErrorDetail{Code: r.Code, Outcome: r.Outcome, Message: r.Message, RequestID: id}}
 }
 
-// refuse answers with a refusal.
+// refuse answers with a refusal. Write errors are dropped as in end.
 func refuse(c echo.Context, id string, r *entry.Refusal) error {
 	header := c.Response().Header()
 	header.Set(OutcomeHeader, string(r.Outcome))
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
-	return ignoreGone(c.JSON(r.Status, errorBody(id, r)))
+	_ = c.JSON(r.Status, errorBody(id, r))
+	return nil
 }
