--- a/frontend/server_test.go
+++ b/frontend/server_test.go
@@ -44,10 +44,12 @@
 func (s *stub) Plain(_ context.Context, r *entry.PlainRequest) (*PlainAnswer, error) {
 	return s.plain(r)
 }
-func (s *stub) Allow(string, int) time.Duration       { return s.wait }
-func (s *stub) Output(_, _ string, maxTokens int) int { return maxTokens }
-func (s *stub) Finished(_, _ string, _, _ int)        {}
-func (s *stub) Request(Measure)                       {}
+func (s *stub) Allow(string, int) time.Duration                { return s.wait }
+func (s *stub) Output(_, _ string, maxTokens int) int          { return maxTokens }
+func (s *stub) Finished(_, _ string, _, _ int)                 {}
+func (s *stub) TokenGap(string, string, string, time.Duration) {}
+
+func (s *stub) Request(Measure) {}
 
 func newServer(s *stub) *Server {
 	index := object.NewIndex(1, &object.Set{
