rollout: report no share for a move that is past its deadline or cut

Cause: Status returned the share of the recorded row. While the store was down past the deadline, every daemon had returned to the old version and the administration API still reported 20%. Ruled out: requests that went on to the new version; the engines' logs had none after the deadline. Before: 20%, after: 0 on all daemons (TestMoveInOutageIsReversedByEachDaemon).

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -287,7 +287,13 @@
 		s.Attempt, s.Phase, s.Share, s.Deadline = row.Attempt, row.Phase, row.Share, row.Deadline
 		s.Holder, s.Fence, s.Reason = row.Holder, row.Fence, row.Reason
 	}
-	s.Cut, _ = c.config.Shares.CutOf(m.Name, s.Attempt)
+	reason, cut := c.config.Shares.CutOf(m.Name, s.Attempt)
+	s.Cut = reason
+	if s.Phase != Done && (cut || !c.config.Now().Before(s.Deadline)) {
+		// The row keeps its share until somebody can write the reversal; requests no
+		// longer go by it.
+		s.Share = 0
+	}
 	if g := c.groups[m.Service]; g != nil {
 		_, _, s.Held = g.keeper.Held(c.config.Now())
 		if state := g.moves[m.Name]; state != nil {
