--- a/bench/e2e/badmove_test.go
+++ b/bench/e2e/badmove_test.go
@@ -209,3 +209,20 @@
 		assertAllWhole(t, results)
 	}
 }
+
+// Guards against a version that answers everything, ten times too slowly, and is
+// in service after its deadline.
+func TestSlowVersionIsReversedByItsDeadline(t *testing.T) {
+	const within = 30 * time.Second
+	ctx, c := start(t, moveSpec())
+	setVersionFault(ctx, t, c, faults.VersionFault{Slow: 10})
+	l := startLoad(ctx, c, moveCallers)
+	beginMove(ctx, t, c, within)
+	state := waitMove(ctx, t, c, within+4*time.Second)
+	assert.Equal(t, state.Phase, "reversed", "%+v", state)
+	for name, results := range l.stop() {
+		for _, r := range results {
+			assert.Equal(t, r.Outcome, caller.Whole, "%s: %+v", name, r)
+		}
+	}
+}
