Slow one version of the stand-in engine without slowing the others

Cause: TestSlowVersionIsReversedByItsDeadline saw a tenfold slower version reach done. The stand-in stretched the whole step whenever a sequence of the slow version was in the batch, so the old version beside it was as slow and the comparison had nothing to see.

Ruled out: the sequential test, which finds slow versions in virtual time, and the evidence interval; the holder's log shows equal latencies on both sides.

Change: a sequence of a slow version takes part in every n-th step only; other versions keep their speed, as back ends beside each other do.

Conclusion: the fault was in the stand-in; the test keeps its bound.

--- a/bench/standin/engine/model.go
+++ b/bench/standin/engine/model.go
@@ -40,6 +40,10 @@
 	// capacity is the whole answer, so the step loop never blocks.
 	out      chan int
 	canceled bool
+	// progress gathers the parts of steps that a sequence of a slow version gets;
+	// it takes part in a step when it reaches 1.
+	progress float64
+	active   bool
 }
 
 // prefillLeft counts the prompt and resumed tokens that are not yet processed.
@@ -56,7 +60,10 @@
 // step processes one chunk of prompts and one token per decoding sequence.
 type batch struct {
 	speed Speed
-	slow  func(version string, running int) float64
+	// slow stretches all steps; versionSlow stretches the work of one version, as
+	// if it ran on a back end of its own beside the others.
+	slow        func() float64
+	versionSlow func(version string, running int) float64
 
 	mu      sync.Mutex
 	wake    chan struct{}
@@ -68,12 +75,13 @@
 	wastedTotal    int64
 }
 
-func newBatch(speed Speed, slow func(string, int) float64, onCache func(op string, block uint64)) *batch {
+func newBatch(speed Speed, slow func() float64, versionSlow func(string, int) float64, onCache func(op string, block uint64)) *batch {
 	return &batch{
-		speed: speed,
-		slow:  slow,
-		wake:  make(chan struct{}, 1),
-		cache: newPrefixCache(speed.KVTokens/blockTokens, onCache),
+		speed:       speed,
+		slow:        slow,
+		versionSlow: versionSlow,
+		wake:        make(chan struct{}, 1),
+		cache:       newPrefixCache(speed.KVTokens/blockTokens, onCache),
 	}
 }
 
@@ -149,9 +157,10 @@
 	}
 	budget := prefillChunk
 	decoding := 0
-	worst := 1.0
 	for _, s := range b.running {
-		worst = max(worst, b.slow(s.version, len(b.running)))
+		if !s.takesPart(b.versionSlow(s.version, len(b.running))) {
+			continue
+		}
 		left := s.prefillLeft()
 		if left <= 0 {
 			decoding++
@@ -170,7 +179,20 @@
 	if decoding > 0 {
 		step += b.speed.DecodeBase + time.Duration(decoding)*b.speed.DecodePerSequence
 	}
-	return time.Duration(float64(step) * worst), true
+	if step == 0 {
+		step = b.speed.DecodeBase
+	}
+	return time.Duration(float64(step) * b.slow()), true
+}
+
+// takesPart says whether the sequence is processed in this step.
+func (s *sequence) takesPart(slow float64) bool {
+	s.progress += 1 / slow
+	s.active = s.progress >= 1
+	if s.active {
+		s.progress--
+	}
+	return s.active
 }
 
 func (b *batch) admit() {
@@ -196,7 +218,7 @@
 			b.drop(s)
 			continue
 		}
-		if s.prefillLeft() > 0 {
+		if !s.active || s.prefillLeft() > 0 {
 			kept = append(kept, s)
 			continue
 		}
--- a/bench/standin/engine/server.go
+++ b/bench/standin/engine/server.go
@@ -93,7 +93,7 @@
 	s := &Server{config: config, done: make(chan struct{}), crash: make(chan struct{}), versions: slices.Clone(config.Versions)}
 	s.events.random = rand.New(rand.NewPCG(config.Seed, 1))
 	s.events.loss = config.EventLoss
-	s.batch = newBatch(config.Speed, s.slowness, s.events.add)
+	s.batch = newBatch(config.Speed, s.slowness, s.versionSlowness, s.events.add)
 	go s.batch.run(s.done)
 	go s.sample()
 	return s
@@ -126,9 +126,12 @@
 	return slices.Clone(s.orders)
 }
 
-func (s *Server) slowness(version string, running int) float64 {
-	f := s.Faults.Get()
-	return max(1, f.Slow) * max(1, f.Version(version, running, "").Slow)
+func (s *Server) slowness() float64 {
+	return max(1, s.Faults.Get().Slow)
+}
+
+func (s *Server) versionSlowness(version string, running int) float64 {
+	return max(1, s.Faults.Get().Version(version, running, "").Slow)
 }
 
 // sample records load reports that are read with a lag.
