Do not pass on headers that belong to the caller's connection

Cause: Proxy-Connection and headers named in Connection reached the target.

Change: both are removed before a plain call is sent.

Figures: the extended TestRedirectsAndHeaders fails without the change.

--- a/plainservice/client.go
+++ b/plainservice/client.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/attempt"
@@ -123,7 +124,7 @@
 }
 
 // hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
 func (call *Call) request(ctx context.Context) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
@@ -134,6 +135,9 @@
 	if req.Header == nil {
 		req.Header = http.Header{}
 	}
+	for _, name := range namedInConnection(req.Header) {
+		req.Header.Del(name)
+	}
 	for _, name := range hopHeaders {
 		req.Header.Del(name)
 	}
@@ -144,6 +148,18 @@
 	return req, nil
 }
 
+// namedInConnection returns the headers that the sender declared as belonging to
+// its connection.
+func namedInConnection(header http.Header) []string {
+	var names []string
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			names = append(names, strings.TrimSpace(name))
+		}
+	}
+	return names
+}
+
 func (call *Call) fail(kind attempt.Kind, status int, err error) error {
 	return &attempt.Error{Kind: kind, Target: call.Target, Status: status, Err: fault.Wrap(err, "plainservice.call", call.Target)}
 }
--- a/plainservice/client_test.go
+++ b/plainservice/client_test.go
@@ -95,15 +95,17 @@
 	call.Version = "v2"
 	call.Header.Set("Authorization", "Bearer x")
 	call.Header.Set("X-Kept", "yes")
+	call.Header.Set("X-For-This-Connection", "x")
 	for _, name := range hopHeaders {
 		call.Header.Set(name, "x")
 	}
+	call.Header.Add("Connection", "close, X-For-This-Connection")
 	for _, idempotent := range []bool{false, true} {
 		call.Idempotent = idempotent
 		answer, err := NewClient().Do(t.Context(), call)
 		assert.NilError(t, err)
 		assert.Equal(t, answer.Status, http.StatusTemporaryRedirect)
-		for _, name := range append([]string{"Authorization"}, hopHeaders...) {
+		for _, name := range append([]string{"Authorization", "X-For-This-Connection"}, hopHeaders...) {
 			if name != "Connection" { // Go sets "close" on connections that are not reused
 				assert.Equal(t, got.Get(name), "", name)
 			}
