Share the HTTP client toward targets and the opening of a daemon

Cause: both adapters had the same transport with the same bounds, and two commands opened a daemon in the same nine lines.

Change: internal/outbound and daemon.Open; no behaviour changes.

--- a/bench/internal/cli/daemon.go
+++ b/bench/internal/cli/daemon.go
@@ -11,8 +11,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/marjoramflow/marjoramflow/daemon"
-	"github.com/marjoramflow/marjoramflow/eventlog"
-	"github.com/marjoramflow/marjoramflow/settings"
 )
 
 // daemonCommand runs a daemon with a CPU profile. The shipped daemon has no
@@ -37,15 +35,7 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, file.Close()) }()
-	s, err := settings.Load(path)
-	if err != nil {
-		return err
-	}
-	logger, err := eventlog.New(os.Stderr, s.Log.Level, s.Log.Format, s.Name)
-	if err != nil {
-		return err
-	}
-	d, err := daemon.New(s, logger)
+	d, err := daemon.Open(path, os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/cmd/marjoramd/main.go
+++ b/cmd/marjoramd/main.go
@@ -11,7 +11,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/marjoramflow/marjoramflow/daemon"
-	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/settings"
 )
 
@@ -68,15 +67,7 @@
 }
 
 func run(ctx context.Context, path string) error {
-	s, err := settings.Load(path)
-	if err != nil {
-		return err
-	}
-	logger, err := eventlog.New(os.Stderr, s.Log.Level, s.Log.Format, s.Name)
-	if err != nil {
-		return err
-	}
-	d, err := daemon.New(s, logger)
+	d, err := daemon.Open(path, os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,19 @@
 	stopping    atomic.Bool
 }
 
+// Open reads the settings file and returns a daemon that logs to w.
+func Open(path string, w io.Writer) (*Daemon, error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	logger, err := eventlog.New(w, s.Log.Level, s.Log.Format, s.Name)
+	if err != nil {
+		return nil, err
+	}
+	return New(s, logger)
+}
+
 // New opens the listeners and puts the parts together. Nothing runs before Run.
 func New(s *settings.Settings, logger *eventlog.Logger) (*Daemon, error) {
 	d := &Daemon{
--- a/engine/client.go
+++ b/engine/client.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -15,18 +14,11 @@
 
 	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/internal/outbound"
 )
 
-const (
-	dialTimeout = 2 * time.Second
-	// idleTimeout closes pooled connections before a stateful middlebox on the
-	// way forgets them and they go silent.
-	idleTimeout = 15 * time.Second
-	// maxIdlePerTarget bounds pooled connections to one target.
-	maxIdlePerTarget = 64
-	// maxErrorBytes bounds what is read of an error answer.
-	maxErrorBytes = 4 << 10
-)
+// maxErrorBytes bounds what is read of an error answer.
+const maxErrorBytes = 4 << 10
 
 // RequestIDHeader carries the attempt's id to targets.
 const RequestIDHeader = "X-Request-Id"
@@ -40,17 +32,7 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: maxIdlePerTarget,
-		DisableCompression:  true,
-	}
-	return &Client{http: &http.Client{
-		Transport: transport,
-		// A redirect would run the request a second time elsewhere.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Client{http: outbound.NewClient(false)}
 }
 
 // DroppedFrames returns the number of frames that named another attempt.
--- a/plainservice/client.go
+++ b/plainservice/client.go
@@ -12,23 +12,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
-	"time"
 
 	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/internal/outbound"
 )
 
-const (
-	dialTimeout      = 2 * time.Second
-	idleTimeout      = 15 * time.Second
-	maxIdlePerTarget = 64
-	// MaxAnswerBytes bounds an answer that is held in memory.
-	MaxAnswerBytes = 16 << 20
-)
+// MaxAnswerBytes bounds an answer that is held in memory.
+const MaxAnswerBytes = 16 << 20
 
 // VersionHeader tells the target which version the request is meant for.
 const VersionHeader = "X-Marjoram-Version"
@@ -63,21 +57,7 @@
 
 // NewClient returns a client.
 func NewClient() *Client {
-	return &Client{pooled: newHTTP(false), fresh: newHTTP(true)}
-}
-
-func newHTTP(fresh bool) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			IdleConnTimeout:     idleTimeout,
-			MaxIdleConnsPerHost: maxIdlePerTarget,
-			DisableCompression:  true,
-			DisableKeepAlives:   fresh,
-		},
-		// A redirect would run the request a second time elsewhere.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	return &Client{pooled: outbound.NewClient(false), fresh: outbound.NewClient(true)}
 }
 
 // Do runs one attempt and reads the whole answer. Failures are *attempt.Error;
