--- a/adminapi/client_test.go
+++ b/adminapi/client_test.go
@@ -14,7 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/settings"
 )
 
@@ -99,11 +99,11 @@
 // difference between "had no effect" and "may have had one".
 func TestPlatformFailures(t *testing.T) {
 	f := newFixture(t)
-	f.backend.publishFault = platform.ErrUnavailable
+	f.backend.publishFault = provider.ErrUnavailable
 	_, err := f.client.Publish(context.Background(), 0, exampleSet(t))
 	assert.Equal(t, codeOfError(err), CodeUnavailable)
 	assert.Assert(t, !errors.Is(err, ErrOutcomeUnknown))
-	f.backend.publishFault, f.backend.afterEffect = platform.ErrUnknown, true
+	f.backend.publishFault, f.backend.afterEffect = provider.ErrUnknown, true
 	_, err = f.client.Publish(context.Background(), 0, exampleSet(t))
 	assert.Assert(t, errors.Is(err, ErrOutcomeUnknown), "%v", err)
 }
--- a/adminapi/read.go
+++ b/adminapi/read.go
@@ -114,6 +114,8 @@
 		return c.JSON(http.StatusOK, set.ClientAccounts)
 	case object.KindMove:
 		return c.JSON(http.StatusOK, set.Moves)
+	case object.KindIngress:
+		return c.JSON(http.StatusOK, set.Ingresses)
 	}
 	return newError(CodeNotFound, "kind %q does not exist; kinds are %v", c.Param("kind"), object.Kinds())
 }
--- a/adminapi/server.go
+++ b/adminapi/server.go
@@ -16,7 +16,7 @@
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/metrics"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/settings"
 )
 
@@ -199,9 +199,9 @@
 		return newError(CodeInvalid, "the request has more than %d bytes", tooLarge.Limit)
 	case errors.Is(err, ErrNoGeneration):
 		return newError(CodeNotFound, "%v", err)
-	case errors.Is(err, platform.ErrUnknown), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, provider.ErrUnknown), errors.Is(err, context.DeadlineExceeded):
 		return newError(CodeUnknown, "%v", err)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, provider.ErrUnavailable):
 		return newError(CodeUnavailable, "%v", err)
 	case errors.As(err, &byEcho) && byEcho.Code < http.StatusInternalServerError:
 		return newError(codeOf(byEcho.Code), "%v", byEcho.Message)
--- a/bench/e2e/target_test.go
+++ b/bench/e2e/target_test.go
@@ -14,7 +14,7 @@
 	"github.com/marjoramflow/marjoramflow/bench/internal/cluster"
 	"github.com/marjoramflow/marjoramflow/bench/standin/engine"
 	"github.com/marjoramflow/marjoramflow/bench/standin/faults"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 const (
@@ -182,7 +182,7 @@
 		vms := c.VMs()
 		for i := range vms {
 			if vms[i].Name == c.Engines[0].Name {
-				vms[i].State = platform.VMLeaving
+				vms[i].State = provider.VMLeaving
 			}
 		}
 		return c.PutVMs(ctx, vms)
--- a/bench/internal/cluster/cluster.go
+++ b/bench/internal/cluster/cluster.go
@@ -15,7 +15,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/marjoramflow/marjoramflow/object"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/settings"
 )
 
@@ -253,13 +253,13 @@
 }
 
 // VMs returns the VM list with everything live.
-func (c *Cluster) VMs() []platform.VM {
-	var vms []platform.VM
+func (c *Cluster) VMs() []provider.VM {
+	var vms []provider.VM
 	for _, d := range c.Daemons {
-		vms = append(vms, platform.VM{Name: d.Name, Address: d.Peers, DataCentre: d.DataCentre, Role: platform.RoleEntry, State: platform.VMLive})
+		vms = append(vms, provider.VM{Name: d.Name, Address: d.Peers, DataCentre: d.DataCentre, Role: provider.RoleEntry, State: provider.VMLive})
 	}
 	for _, s := range append(append([]*Server{}, c.Engines...), c.Plains...) {
-		vms = append(vms, platform.VM{Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Role: platform.RoleTarget, State: platform.VMLive})
+		vms = append(vms, provider.VM{Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Role: provider.RoleTarget, State: provider.VMLive})
 	}
 	return vms
 }
--- a/bench/internal/cluster/control.go
+++ b/bench/internal/cluster/control.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/bench/standin/faults"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 var controlClient = &http.Client{Timeout: 5 * time.Second}
@@ -65,7 +65,7 @@
 }
 
 // PutVMs replaces the platform's VM list.
-func (c *Cluster) PutVMs(ctx context.Context, vms []platform.VM) error {
+func (c *Cluster) PutVMs(ctx context.Context, vms []provider.VM) error {
 	return call(ctx, http.MethodPut, "http://"+c.Platform.Address+"/v1/vms", map[string]any{"vms": vms}, nil)
 }
 
--- a/bench/standin/platformserver/server.go
+++ b/bench/standin/platformserver/server.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/bench/standin/faults"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // Server is the stand-in. Create it with New; it is safe for concurrent use.
@@ -25,9 +25,9 @@
 	Faults faults.Box
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]provider.Row
 	objects map[string][]byte
-	vms     []platform.VM
+	vms     []provider.VM
 	version uint64
 	weights weightBucket
 
@@ -44,7 +44,7 @@
 // New returns an empty platform whose weight store sends bytesPerSecond.
 func New(bytesPerSecond float64) *Server {
 	return &Server{
-		rows:    make(map[string]platform.Row),
+		rows:    make(map[string]provider.Row),
 		objects: make(map[string][]byte),
 		weights: weightBucket{bytesPerSecond: bytesPerSecond},
 	}
@@ -56,7 +56,7 @@
 }
 
 // SetVMs replaces the VM list.
-func (s *Server) SetVMs(vms []platform.VM) {
+func (s *Server) SetVMs(vms []provider.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = slices.Clone(vms)
@@ -136,7 +136,7 @@
 	s.reads.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rows := make([]platform.Row, len(in.Keys))
+	rows := make([]provider.Row, len(in.Keys))
 	for i, key := range in.Keys {
 		rows[i] = s.rows[key]
 		rows[i].Key = key
@@ -155,13 +155,13 @@
 	s.reads.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rows := []platform.Row{}
+	rows := []provider.Row{}
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, in.Prefix) {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b provider.Row) int { return strings.Compare(a.Key, b.Key) })
 	if in.Limit > 0 && len(rows) > in.Limit {
 		rows = rows[:in.Limit]
 	}
@@ -169,7 +169,7 @@
 }
 
 func (s *Server) commit(r *http.Request) answer {
-	var in struct{ Writes []platform.Write }
+	var in struct{ Writes []provider.Write }
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		return badRequest(err)
 	}
@@ -193,13 +193,13 @@
 
 // apply performs one write. Versions rise over all rows, so that a row that was
 // deleted and inserted again never has an earlier version.
-func (s *Server) apply(w platform.Write) {
+func (s *Server) apply(w provider.Write) {
 	if w.Delete {
 		delete(s.rows, w.Key)
 		return
 	}
 	s.version++
-	s.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: s.version}
+	s.rows[w.Key] = provider.Row{Key: w.Key, Value: w.Value, Version: s.version}
 }
 
 func (s *Server) putObject(r *http.Request) answer {
@@ -254,7 +254,7 @@
 }
 
 func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
-	var in struct{ VMs []platform.VM }
+	var in struct{ VMs []provider.VM }
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		badRequest(err).write(w)
 		return
--- /dev/null
+++ b/catalog/watcher.go
@@ -0,0 +1,269 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/object"
+)
+
+const (
+	// changesWait is the time that one call for changes waits at the source. A
+	// connection that has gone silent is noticed callSlack later, inside the time
+	// in which a change has to be in force.
+	changesWait = 2 * time.Second
+	// callSlack is added to the wait for the answer itself.
+	callSlack = 700 * time.Millisecond
+	// snapshotTimeout bounds one snapshot.
+	snapshotTimeout = time.Second
+	// minRetry and maxRetry bound the pause after a failed call, which doubles.
+	minRetry = 50 * time.Millisecond
+	maxRetry = 500 * time.Millisecond
+	// outageTime is the time without an answer after which missing targets may
+	// have lapsed only because they could not report to the source.
+	outageTime = 3 * time.Second
+	// returnTime is the time in which such targets are back after the source is.
+	returnTime = 2 * time.Second
+)
+
+// WatcherConfig holds the parts of a Watcher. All are required.
+type WatcherConfig struct {
+	Source Source
+	// Regions names the region of each data centre.
+	Regions map[string]string
+	// Install puts a checked set in force. It is called from one goroutine at a
+	// time.
+	Install func(set *object.Set, limits CallerLimits)
+	// OnOrder is told every order of the operator.
+	OnOrder func(Order)
+	Logger  *eventlog.Logger
+}
+
+// Watcher follows a source. Its methods are safe for concurrent use.
+type Watcher struct {
+	WatcherConfig
+
+	mu    sync.Mutex
+	state *State
+	// gone are registered targets that were missing after an outage, with the time
+	// at which they are given up.
+	gone map[string]time.Time
+	last [topics]time.Time
+	lost [topics]bool
+}
+
+// NewWatcher returns a watcher that knows nothing.
+func NewWatcher(config WatcherConfig) *Watcher {
+	return &Watcher{
+		WatcherConfig: config,
+		state:         NewState(config.Regions),
+		gone:          make(map[string]time.Time),
+	}
+}
+
+// RunOperator follows the manifest and the orders until the context ends.
+func (w *Watcher) RunOperator(ctx context.Context) error {
+	return w.run(ctx, Operator)
+}
+
+// RunRegistry follows the targets until the context ends.
+func (w *Watcher) RunRegistry(ctx context.Context) error {
+	return w.run(ctx, Registry)
+}
+
+// SetMove sets the stage of a move on this daemon.
+func (w *Watcher) SetMove(m Move) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state.SetMove(m)
+	w.install()
+}
+
+// run reads a snapshot and then changes, and begins anew when history is lost.
+func (w *Watcher) run(ctx context.Context, topic Topic) error {
+	revision, complete := uint64(0), false
+	pause := minRetry
+	for ctx.Err() == nil {
+		batch, err := w.read(ctx, topic, revision, complete)
+		switch {
+		case errors.Is(err, ErrHistoryLost):
+			complete = false
+			continue
+		case err != nil:
+			w.failed(ctx, topic, err)
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, maxRetry)
+			continue
+		}
+		pause = minRetry
+		w.apply(time.Now(), topic, batch, !complete)
+		revision, complete = max(revision, batch.Revision), true
+	}
+	return nil
+}
+
+func (w *Watcher) read(ctx context.Context, topic Topic, revision uint64, complete bool) (Batch, error) {
+	timeout := snapshotTimeout
+	if complete {
+		timeout = changesWait + callSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if !complete {
+		return w.Source.Snapshot(ctx, topic)
+	}
+	wait := changesWait
+	if topic == Registry && w.pending() {
+		wait = returnTime / 4
+	}
+	return w.Source.Changes(ctx, topic, revision, wait)
+}
+
+// pending says whether targets wait to be given up.
+func (w *Watcher) pending() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.gone) > 0
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// failed logs the first failure after a success.
+func (w *Watcher) failed(ctx context.Context, topic Topic, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lost[topic] || ctx.Err() != nil {
+		return
+	}
+	w.lost[topic] = true
+	w.Logger.EmitError(eventlog.SourceLost, err, eventlog.Fields{"topic": topic.String()})
+}
+
+// apply takes a batch. A snapshot lists everything, so what it lacks is gone.
+func (w *Watcher) apply(now time.Time, topic Topic, batch Batch, snapshot bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	afterOutage := !w.last[topic].IsZero() && now.Sub(w.last[topic]) > changesWait+outageTime
+	w.last[topic] = now
+	if w.lost[topic] {
+		w.lost[topic] = false
+		w.Logger.Emit(eventlog.SourceBack, eventlog.Fields{"topic": topic.String(), "revision": batch.Revision})
+	}
+	changed := w.expire(now)
+	listed := make(map[string]bool, len(batch.Entries))
+	for i := range batch.Entries {
+		listed[batch.Entries[i].Key] = true
+		if w.take(now, topic, &batch.Entries[i], afterOutage) {
+			changed = true
+		}
+	}
+	if snapshot && topic == Registry {
+		for _, id := range w.state.InstanceIDs() {
+			if !listed[id] && w.drop(now, id, afterOutage) {
+				changed = true
+			}
+		}
+	}
+	if changed {
+		w.install()
+	}
+}
+
+// take applies one entry and says whether the set may have changed.
+func (w *Watcher) take(now time.Time, topic Topic, e *Entry, afterOutage bool) bool {
+	switch {
+	case e.Fault != nil:
+		w.Logger.EmitError(eventlog.EntryRefused, e.Fault, eventlog.Fields{"topic": topic.String(), "key": e.Key, "revision": e.Revision})
+		return topic == Registry && w.drop(now, e.Key, false)
+	case e.Deleted:
+		return topic == Registry && w.drop(now, e.Key, afterOutage)
+	case e.Instance != nil:
+		delete(w.gone, e.Key)
+		return w.takeInstance(e)
+	case e.Manifest != nil:
+		return w.takeManifest(e)
+	case e.Order != nil:
+		w.OnOrder(*e.Order)
+	}
+	return false
+}
+
+func (w *Watcher) takeInstance(e *Entry) bool {
+	if !w.state.SetInstance(*e.Instance) {
+		return false
+	}
+	w.Logger.Emit(eventlog.TargetRegistered, eventlog.Fields{
+		"target": e.Key, "service": e.Instance.Service, "address": e.Instance.Address,
+		"version": e.Instance.Version, "draining": e.Instance.Draining, "revision": e.Revision,
+	})
+	return true
+}
+
+// takeManifest takes a newer manifest when the set that it leads to passes its
+// check as a whole.
+func (w *Watcher) takeManifest(e *Entry) bool {
+	trial := NewState(w.Regions)
+	trial.SetManifest(e.Manifest)
+	if problems := trial.Build().Check(); len(problems) > 0 {
+		w.Logger.EmitError(eventlog.ManifestRefused, problems.Err(), eventlog.Fields{"version": e.Manifest.Version, "revision": e.Revision})
+		return false
+	}
+	if !w.state.SetManifest(e.Manifest) {
+		return false
+	}
+	w.Logger.Emit(eventlog.ManifestTaken, eventlog.Fields{"version": e.Manifest.Version, "revision": e.Revision})
+	return true
+}
+
+// drop forgets a target. After an outage of the source it may only have lapsed,
+// and is kept until it had the time to come back.
+func (w *Watcher) drop(now time.Time, id string, afterOutage bool) bool {
+	if _, known := w.state.Instance(id); !known {
+		return false
+	}
+	if afterOutage {
+		if _, waiting := w.gone[id]; !waiting {
+			w.gone[id] = now.Add(returnTime)
+		}
+		return false
+	}
+	delete(w.gone, id)
+	w.Logger.Emit(eventlog.TargetGone, eventlog.Fields{"target": id})
+	return w.state.RemoveInstance(id)
+}
+
+// expire gives up targets that did not come back after an outage.
+func (w *Watcher) expire(now time.Time) bool {
+	changed := false
+	for id, at := range w.gone {
+		if !now.Before(at) {
+			changed = w.drop(now, id, false) || changed
+		}
+	}
+	return changed
+}
+
+// install checks the whole set and puts it in force. A set that fails the check
+// leaves the one in force.
+func (w *Watcher) install() {
+	set := w.state.Build()
+	if set == nil {
+		return
+	}
+	if problems := set.Check(); len(problems) > 0 {
+		w.Logger.EmitError(eventlog.SetRefused, problems.Err(), nil)
+		return
+	}
+	w.Install(set, w.state.Manifest().Limits)
+}
--- a/cmd/marjoramd/main.go
+++ b/cmd/marjoramd/main.go
@@ -67,11 +67,11 @@
 }
 
 func run(ctx context.Context, path string) error {
-	d, err := daemon.Open(path, os.Stderr)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	d, err := daemon.Open(path, os.Stdout)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	return d.Run(ctx)
 }
--- a/confsync/fake_test.go
+++ b/confsync/fake_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // fakeStore is a table and an object store in memory, with faults.
 type fakeStore struct {
 	mu      sync.Mutex
 	random  *rand.Rand
-	row     platform.Row
+	row     provider.Row
 	objects map[string][]byte
 	down    bool
 	// loseBefore and loseAfter are the shares of writes whose answer is lost
@@ -45,41 +45,41 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	}
 	return nil
 }
 
-func (f *fakeStore) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (f *fakeStore) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	if err := f.enter(ctx); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rowReads++
-	return []platform.Row{f.row}, nil
+	return []provider.Row{f.row}, nil
 }
 
-func (f *fakeStore) List(context.Context, string, int) ([]platform.Row, error) {
-	return nil, platform.ErrUnavailable
+func (f *fakeStore) List(context.Context, string, int) ([]provider.Row, error) {
+	return nil, provider.ErrUnavailable
 }
 
-func (f *fakeStore) Commit(ctx context.Context, writes ...platform.Write) error {
+func (f *fakeStore) Commit(ctx context.Context, writes ...provider.Write) error {
 	if err := f.enter(ctx); err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.random.Float64() < f.loseBefore {
-		return platform.ErrUnknown
+		return provider.ErrUnknown
 	}
 	w := writes[0]
 	if w.IfVersion != f.row.Version {
-		return &platform.ConflictError{Keys: []string{w.Key}}
+		return &provider.ConflictError{Keys: []string{w.Key}}
 	}
-	f.row = platform.Row{Key: w.Key, Value: w.Value, Version: f.row.Version + 1}
+	f.row = provider.Row{Key: w.Key, Value: w.Value, Version: f.row.Version + 1}
 	if f.random.Float64() < f.loseAfter {
-		return platform.ErrUnknown
+		return provider.ErrUnknown
 	}
 	return nil
 }
@@ -106,7 +106,7 @@
 	f.objectReads++
 	data, ok := f.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, provider.ErrNotFound
 	}
 	return data, nil
 }
@@ -127,7 +127,7 @@
 	g.cluster.mu.Lock()
 	defer g.cluster.mu.Unlock()
 	if g.cluster.noStore[g.cluster.group[g.name]] {
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	}
 	return nil
 }
@@ -137,7 +137,7 @@
 	*fakeStore
 }
 
-func (t gatedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t gatedTable) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	if err := t.open(); err != nil {
 		return nil, err
 	}
@@ -306,7 +306,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if l.from == to || c.group[l.from] != c.group[to] || c.nodes[to] == nil || c.nodes[l.from] == nil {
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	}
 	if data := m.GetConfigData(); data != nil {
 		c.bytes += len(data.Data)
--- a/confsync/publisher.go
+++ b/confsync/publisher.go
@@ -11,7 +11,7 @@
 
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/object"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 const (
@@ -53,13 +53,13 @@
 
 // Publisher publishes sets. It is safe for concurrent use.
 type Publisher struct {
-	table   platform.Table
-	objects platform.Objects
+	table   provider.Table
+	objects provider.Objects
 	codec   Codec
 }
 
 // NewPublisher returns a publisher. A nil codec takes the default one.
-func NewPublisher(table platform.Table, objects platform.Objects, codec Codec) *Publisher {
+func NewPublisher(table provider.Table, objects provider.Objects, codec Codec) *Publisher {
 	if codec == nil {
 		codec = jsonCodec{}
 	}
@@ -143,12 +143,12 @@
 	if err != nil {
 		return 0, true, fault.Wrap(err, "config.publish", currentKey)
 	}
-	err = p.table.Commit(ctx, platform.Write{Key: currentKey, Value: value, IfVersion: version})
+	err = p.table.Commit(ctx, provider.Write{Key: currentKey, Value: value, IfVersion: version})
 	if err == nil {
 		return p.base + 1, true, nil
 	}
-	var conflict *platform.ConflictError
-	if !errors.As(err, &conflict) && !errors.Is(err, platform.ErrUnavailable) {
+	var conflict *provider.ConflictError
+	if !errors.As(err, &conflict) && !errors.Is(err, provider.ErrUnavailable) {
 		p.mayHaveEffect = true
 	}
 	if row, _, readErr := readRow(ctx, p.table); readErr == nil {
--- a/confsync/row.go
+++ b/confsync/row.go
@@ -7,7 +7,7 @@
 
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/object"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 const (
@@ -80,7 +80,7 @@
 
 // readRow reads the row and its version in the table. Before the first
 // publication, it returns generation 0.
-func readRow(ctx context.Context, table platform.Table) (*currentRow, uint64, error) {
+func readRow(ctx context.Context, table provider.Table) (*currentRow, uint64, error) {
 	rows, err := table.Get(ctx, currentKey)
 	if err != nil {
 		return nil, 0, fault.Wrap(err, "config.read", currentKey)
@@ -96,7 +96,7 @@
 }
 
 // readSet reads the set that a row names and checks its digest.
-func readSet(ctx context.Context, objects platform.Objects, codec Codec, row *currentRow) (*object.Set, error) {
+func readSet(ctx context.Context, objects provider.Objects, codec Codec, row *currentRow) (*object.Set, error) {
 	name := objectName(row.Generation, row.Token)
 	data, err := objects.Get(ctx, name)
 	if err != nil {
--- a/confsync/syncer.go
+++ b/confsync/syncer.go
@@ -12,7 +12,7 @@
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/ring"
 )
 
@@ -41,8 +41,8 @@
 	// Live returns the live daemons of the own data centre in a stable order,
 	// with a version that changes with the list.
 	Live    func() ([]string, uint64)
-	Table   platform.Table
-	Objects platform.Objects
+	Table   provider.Table
+	Objects provider.Objects
 	// Codec encodes sets; nil takes the default one.
 	Codec  Codec
 	Logger *eventlog.Logger
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -17,7 +17,7 @@
 	"github.com/marjoramflow/marjoramflow/membership"
 	"github.com/marjoramflow/marjoramflow/peer"
 	"github.com/marjoramflow/marjoramflow/plainservice"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/provider/httpplatform"
 	"github.com/marjoramflow/marjoramflow/retry"
 	"github.com/marjoramflow/marjoramflow/settings"
@@ -74,7 +74,7 @@
 		Logger: d.logger,
 		OnLive: d.onLive,
 		OnGone: d.onGone,
-		OnList: func(list []platform.VM) { d.probes.SetList(list) },
+		OnList: func(list []provider.VM) { d.probes.SetList(list) },
 	})
 	mesh, err := peer.New(peer.Config{
 		Self: peer.Identity{
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -10,7 +10,7 @@
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // buildConfig builds the parts that publish and spread the configuration.
@@ -42,7 +42,7 @@
 // Generation implements adminapi.Backend.
 func (b backend) Generation(ctx context.Context, generation uint64) (*object.Set, error) {
 	set, err := b.daemon.publisher.Read(ctx, generation)
-	if errors.Is(err, confsync.ErrNoGeneration) || errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, confsync.ErrNoGeneration) || errors.Is(err, provider.ErrNotFound) {
 		return nil, adminapi.ErrNoGeneration
 	}
 	return set, err
@@ -57,7 +57,7 @@
 	case errors.As(err, &conflict):
 		return 0, &adminapi.GenerationConflict{Current: conflict.Current}
 	case errors.As(err, &unknown):
-		return 0, fault.Wrap(errors.Join(platform.ErrUnknown, err), "config.publish", "")
+		return 0, fault.Wrap(errors.Join(provider.ErrUnknown, err), "config.publish", "")
 	case err != nil:
 		return 0, err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,7 +26,7 @@
 	"github.com/marjoramflow/marjoramflow/internal/suspects"
 	"github.com/marjoramflow/marjoramflow/metrics"
 	"github.com/marjoramflow/marjoramflow/peer"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/rollout"
 	"github.com/marjoramflow/marjoramflow/settings"
 	"github.com/marjoramflow/marjoramflow/store"
@@ -38,11 +38,11 @@
 	logger   *eventlog.Logger
 
 	// table and objects share the daemon's budget of store calls.
-	table   platform.Table
-	objects platform.Objects
+	table   provider.Table
+	objects provider.Objects
 	store   *store.Client
-	weights platform.Weights
-	vms     platform.VMList
+	weights provider.Weights
+	vms     provider.VMList
 
 	places    *places
 	shares    *rollout.Shares
@@ -73,8 +73,14 @@
 	stopping    atomic.Bool
 }
 
-// Open reads the settings file and returns a daemon that logs to w.
-func Open(path string, w io.Writer) (*Daemon, error) {
+// Runner serves until the context ends, then stops gracefully.
+type Runner interface {
+	Run(ctx context.Context) error
+}
+
+// Open reads the settings file and returns a daemon that logs to w: a Gateway when
+// the settings have one, else a Daemon.
+func Open(path string, w io.Writer) (Runner, error) {
 	s, err := settings.Load(path)
 	if err != nil {
 		return nil, err
@@ -83,6 +89,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.Gateway.Enabled() {
+		return NewGateway(s, logger)
+	}
 	return New(s, logger)
 }
 
--- /dev/null
+++ b/daemon/gateway.go
@@ -0,0 +1,451 @@
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marjoramflow/marjoramflow/catalog"
+	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/estimate"
+	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/ingress"
+	"github.com/marjoramflow/marjoramflow/internal/grants"
+	"github.com/marjoramflow/marjoramflow/internal/members"
+	"github.com/marjoramflow/marjoramflow/internal/owners"
+	"github.com/marjoramflow/marjoramflow/internal/roster"
+	"github.com/marjoramflow/marjoramflow/internal/suspects"
+	"github.com/marjoramflow/marjoramflow/membership"
+	"github.com/marjoramflow/marjoramflow/metrics"
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/owner"
+	"github.com/marjoramflow/marjoramflow/peer"
+	"github.com/marjoramflow/marjoramflow/peer/peerpb"
+	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
+	"github.com/marjoramflow/marjoramflow/rollout"
+	"github.com/marjoramflow/marjoramflow/settings"
+	"github.com/marjoramflow/marjoramflow/store"
+	"github.com/marjoramflow/marjoramflow/upstream"
+)
+
+// Gateway is a daemon on a platform that holds the configuration, the registry of
+// targets and everything that must last. It shares the scheduling with Daemon: the
+// mesh, the owners of target groups and the entry.
+type Gateway struct {
+	settings    *settings.Settings
+	logger      *eventlog.Logger
+	incarnation uint64
+
+	store    *platform.Store
+	table    *store.Client
+	pool     *upstream.Pool
+	targets  *platform.Targets
+	watcher  *catalog.Watcher
+	roster   *roster.Roster
+	places   *places
+	shares   *rollout.Shares
+	mesh     *peer.Mesh
+	members  *members.Duty
+	owners   *owners.Duty
+	grants   *grants.Client
+	suspects *suspects.Duty
+	limits   *limits
+	link     link
+	metrics  *metrics.Registry
+	lengths  *lengths
+	entry    *entry.Entry
+	ingress  *ingress.Server
+	front    *platform.Front
+
+	// limitsInForce bound what callers may send.
+	limitsInForce atomic.Pointer[catalog.CallerLimits]
+	generation    atomic.Uint64
+	callers       net.Listener
+	probes        net.Listener
+	exposed       net.Listener
+	stopping      atomic.Bool
+}
+
+// defaultCallerLimits apply before the first manifest.
+var defaultCallerLimits = catalog.CallerLimits{
+	HeaderBytes:   16 << 10,
+	BodyBytes:     4 << 20,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   15 * time.Second,
+}
+
+// idleFactor stretches the idle timeout that callers know, so that their next
+// request does not cross the daemon's close.
+const idleFactor = 2
+
+// memoryShare is the part of the process's memory at which the garbage collector
+// works harder; the rest is for sockets and stacks.
+const memoryShare = 0.5
+
+// NewGateway opens the listeners and puts the parts together. Nothing runs before
+// Run.
+func NewGateway(s *settings.Settings, logger *eventlog.Logger) (*Gateway, error) {
+	debug.SetMemoryLimit(int64(float64(s.Gateway.MemoryMB) * memoryShare * (1 << 20)))
+	g := &Gateway{
+		settings:    s,
+		logger:      logger,
+		incarnation: uint64(time.Now().UnixMilli()),
+		pool:        upstream.NewPool(upstream.Options{}),
+		places:      newPlaces(s.DataCentre, s.Region),
+		shares:      rollout.NewShares(),
+		metrics:     metrics.New(metrics.DefaultLimits),
+		lengths:     &lengths{model: estimate.New()},
+	}
+	g.limitsInForce.Store(&defaultCallerLimits)
+	g.openStore()
+	if err := g.openMesh(); err != nil {
+		return nil, err
+	}
+	g.buildScheduling()
+	g.buildFront()
+	return g, g.listen()
+}
+
+func (g *Gateway) listen() error {
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&g.callers, g.settings.Listen.Callers},
+		{&g.probes, g.settings.Gateway.Ready},
+		{&g.exposed, g.settings.Gateway.Metrics},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fault.Wrap(err, "gateway.listen", l.address)
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+// openStore builds what is read from and kept in the platform's store.
+func (g *Gateway) openStore() {
+	g.store = platform.NewStore(g.settings.Gateway.Store, g.pool)
+	g.table = store.New(store.Config{
+		Table:   g.store,
+		Objects: g.store.Objects(),
+		Limits: store.Limits{
+			ReadsPerSecond:  g.settings.Limits.StoreReads,
+			WritesPerSecond: g.settings.Limits.StoreWrites,
+		},
+		Logger: g.logger,
+	})
+	g.targets = platform.NewTargets(g.pool)
+	g.roster = roster.New(roster.Config{
+		Self: provider.VM{
+			Name:       g.settings.Name,
+			Address:    g.settings.Listen.Peers,
+			DataCentre: g.settings.DataCentre,
+			Role:       provider.RoleEntry,
+			State:      provider.VMLive,
+		},
+		Table:  g.table,
+		Logger: g.logger,
+	})
+	g.watcher = catalog.NewWatcher(catalog.WatcherConfig{
+		Source:  g.store,
+		Regions: g.settings.Gateway.DataCentres,
+		Install: g.install,
+		OnOrder: g.onOrder,
+		Logger:  g.logger,
+	})
+}
+
+// openMesh builds the membership duty and the mesh of sessions.
+func (g *Gateway) openMesh() error {
+	s := g.settings
+	g.members = members.New(members.Config{
+		Self: membership.Member{
+			Name:        s.Name,
+			Address:     s.Listen.Peers,
+			DataCentre:  s.DataCentre,
+			Incarnation: g.incarnation,
+		},
+		VMs:    g.roster,
+		Seeds:  seeds(s.Seeds),
+		Logger: g.logger,
+		OnLive: g.onLive,
+		OnGone: func(daemon string) { g.owners.EntryGone(daemon) },
+		OnList: func([]provider.VM) {},
+	})
+	mesh, err := peer.New(peer.Config{
+		Self: peer.Identity{
+			Name:        s.Name,
+			Address:     s.Listen.Peers,
+			DataCentre:  s.DataCentre,
+			Incarnation: g.incarnation,
+		},
+		Listen:     s.Listen.Peers,
+		TLS:        tlsFiles(s.TLS),
+		Generation: g.generation.Load,
+		OnMessage:  g.onMessage,
+		OnSession:  g.onSession,
+		Logger:     g.logger,
+	})
+	if err != nil {
+		return err
+	}
+	g.mesh = mesh
+	g.metrics.Set("mesh", expvar.Func(func() any { return mesh.Stats() }))
+	g.metrics.Set("store", expvar.Func(func() any { return g.table.Stats() }))
+	g.metrics.Set("connections", expvar.Func(func() any { return g.pool.Stats() }))
+	g.members.SetMesh(mesh)
+	return nil
+}
+
+// buildScheduling builds the owner and grant parts and the entry.
+func (g *Gateway) buildScheduling() {
+	self := g.settings.Name
+	g.suspects = suspects.New(suspects.Config{Self: self, Broadcast: g.broadcast, Table: g.table, Logger: g.logger})
+	g.limits = newLimits(self, g.mesh.Send, g.places.everyone)
+	g.link = newLink()
+	g.owners = owners.New(owners.Config{
+		Self:   self,
+		Sender: g.mesh,
+		OnLost: g.onLost,
+		Trial:  g.trial,
+		Logger: g.logger,
+	})
+	g.grants = grants.New(grants.Config{
+		Self:        self,
+		Sender:      g.mesh,
+		Places:      g.places,
+		Link:        g.link,
+		Unreachable: g.members.Unreachable,
+	})
+	g.entry = entry.New(entry.Config{
+		Grants:    g.grants,
+		Versions:  versions{shares: g.shares},
+		Observer:  &gatewayObserver{metrics: g.metrics},
+		Suspects:  g.suspects,
+		Retries:   newRetries(),
+		Forwarder: g.targets,
+		Pause:     pause,
+	})
+}
+
+func (g *Gateway) buildFront() {
+	g.ingress = ingress.New(ingress.Config{
+		Index:        g.places.Index,
+		Runner:       g.entry,
+		Limiter:      g.limits,
+		Recorder:     recorder{registry: g.metrics},
+		Logger:       g.logger,
+		OpenRequests: g.settings.Limits.OpenRequests,
+	})
+	g.front = platform.NewFront(platform.FrontConfig{
+		Ingress:       g.ingress,
+		HeaderBytes:   defaultCallerLimits.HeaderBytes,
+		HeaderTimeout: defaultCallerLimits.HeaderTimeout,
+		IdleTimeout:   idleFactor * defaultCallerLimits.IdleTimeout,
+		BodyBytes:     func() int64 { return g.limitsInForce.Load().BodyBytes },
+	})
+}
+
+// gatewayObserver records the waits of attempts.
+type gatewayObserver struct {
+	metrics *metrics.Registry
+}
+
+// Attempt implements entry.Observer.
+func (o *gatewayObserver) Attempt(a entry.Observation) {
+	if a.QueueWait > 0 {
+		o.metrics.Series(metrics.Labels{Tier: a.Tier, Account: a.Account, Service: a.Service}).QueueWait(a.QueueWait)
+	}
+}
+
+// Run starts the duties and serves until the context ends, then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	duties, cancelDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelDuties()
+	group, groupCtx := errgroup.WithContext(duties)
+	for _, duty := range g.duties() {
+		group.Go(func() error {
+			err := duty(groupCtx)
+			if err != nil {
+				g.logger.EmitError(eventlog.DutyFailed, err, nil)
+			}
+			return err
+		})
+	}
+	g.logger.Emit(eventlog.DaemonStarted, eventlog.Fields{
+		"callers":    g.settings.Listen.Callers,
+		"peers":      g.settings.Listen.Peers,
+		"dataCentre": g.settings.DataCentre,
+	})
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+	}
+	stopErr := g.stop(ctx)
+	cancelDuties()
+	err := group.Wait()
+	g.logger.Emit(eventlog.DaemonStopped, nil)
+	if err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+// duties are the goroutines of the daemon.
+func (g *Gateway) duties() []func(context.Context) error {
+	return []func(context.Context) error{
+		g.mesh.Run,
+		g.members.Run,
+		g.members.RunList,
+		g.roster.Run,
+		g.watcher.RunOperator,
+		g.watcher.RunRegistry,
+		g.owners.Run,
+		g.grants.Run,
+		g.suspects.Run,
+		g.limits.run,
+		g.pool.Run,
+		func(context.Context) error { return g.front.Serve(g.callers) },
+		func(ctx context.Context) error { return serve(ctx, g.probes, g.probeHandler()) },
+		func(ctx context.Context) error { return serve(ctx, g.exposed, g.metricsHandler()) },
+	}
+}
+
+// serve runs an HTTP server until the context ends.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultCallerLimits.HeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	err := server.Serve(listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return fault.Wrap(err, "gateway.serve", listener.Addr().String())
+}
+
+func (g *Gateway) probeHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (g *Gateway) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = w.Write([]byte(g.metrics.String()))
+	})
+}
+
+// ready is the answer to the balancer.
+func (g *Gateway) ready() bool {
+	return !g.stopping.Load() && g.places.Index() != nil
+}
+
+const (
+	// stopMargin is left of the grace for the end of the process itself.
+	stopMargin = 700 * time.Millisecond
+	// lingerShare is the part of the grace in which kept connections may still
+	// bring requests; each gets its answer and then the end of the connection.
+	lingerShare = 0.6
+)
+
+// stop ends the daemon's work without cutting a request.
+func (g *Gateway) stop(ctx context.Context) error {
+	g.stopping.Store(true)
+	g.logger.Emit(eventlog.DaemonStopping, eventlog.Fields{"open": g.ingress.Open()})
+	grace := g.settings.Gateway.Grace
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace-stopMargin)
+	defer cancel()
+	g.front.Leave()
+	if err := g.roster.Leave(ctx); err != nil {
+		g.logger.EmitError(eventlog.PlatformUnavailable, err, nil)
+	}
+	g.members.Leave(ctx)
+	pause(ctx, time.Duration(lingerShare*float64(grace)))
+	return g.front.Shutdown(ctx)
+}
+
+// install puts a checked set in force on this daemon.
+func (g *Gateway) install(set *object.Set, callerLimits catalog.CallerLimits) {
+	generation := g.generation.Add(1)
+	g.limitsInForce.Store(&callerLimits)
+	g.places.setIndex(object.NewIndex(generation, set))
+	g.limits.setConfig(set)
+	g.placesChanged()
+	g.logger.Emit(eventlog.ConfigInForce, eventlog.Fields{"generation": generation, "targets": len(set.Targets), "ingresses": len(set.Ingresses)})
+}
+
+// onOrder takes an order of the operator to move a service.
+func (g *Gateway) onOrder(catalog.Order) {}
+
+// placesChanged tells the duties that groups or owners changed.
+func (g *Gateway) placesChanged() {
+	live, _ := g.places.liveIn(g.settings.DataCentre)
+	g.owners.SetPlaces(g.places.Local(), len(live))
+	g.link.setDaemons(g.places.liveInRegion())
+	g.grants.PlacesChanged()
+}
+
+func (g *Gateway) onLive(dataCentre string, daemons []string) {
+	if g.places.setLive(dataCentre, daemons) {
+		g.placesChanged()
+	}
+}
+
+// broadcast sends a message to every daemon with a session.
+func (g *Gateway) broadcast(m *peerpb.Envelope) {
+	for _, s := range g.mesh.Sessions() {
+		// A peer that cannot take the message learns its content when its session
+		// is up again.
+		_ = g.mesh.Send(s.Name, m)
+	}
+}
+
+// onMessage hands a frame to the duty that it belongs to.
+func (g *Gateway) onMessage(from string, m *peerpb.Envelope) {
+	g.limits.onMessage(from, m)
+	switch {
+	case g.members.OnMessage(from, m):
+	case g.owners.OnMessage(from, m):
+	case g.grants.OnMessage(from, m):
+	case g.suspects.OnMessage(m):
+	}
+}
+
+func (g *Gateway) onSession(name string, up bool, hello *peerpb.Hello) {
+	if up {
+		g.grants.SessionUp(name)
+	} else {
+		g.grants.SessionLost(name)
+	}
+	g.members.OnSession(name, up, hello)
+}
+
+// onLost takes the loss of a connection to a target with what ran there.
+func (g *Gateway) onLost(string, []owner.Running) {}
+
+// trial asks an ejected target for its health. A target that says that it is
+// healthy gets requests again, and is ejected anew if they fail.
+func (g *Gateway) trial(t *object.Target) error {
+	index := g.places.Index()
+	if index == nil {
+		return fault.New("gateway.trial", t.Name, "no configuration is in force")
+	}
+	service := index.Service(t.Service)
+	if service == nil {
+		return fault.New("gateway.trial", t.Name, "service is not in the configuration")
+	}
+	return g.targets.Check(context.Background(), t, service.HealthPath)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,7 +28,9 @@
 	gapTimeout = 2 * time.Second
 )
 
-// Config holds the parts that an Entry works with. All are required.
+// Config holds the parts that an Entry works with. Engines, Plains, Keys and Hedges
+// serve chats and plain calls, Forwarder serves opaque requests; the rest is
+// required.
 type Config struct {
 	Grants   Grants
 	Engines  Engines
@@ -39,6 +41,8 @@
 	Suspects Suspects
 	Retries  Retries
 	Hedges   Hedges
+	// Forwarder sends opaque requests to targets.
+	Forwarder Forwarder
 	// Pause waits before a retry; it returns early when the context ends.
 	Pause func(ctx context.Context, d time.Duration)
 }
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -10,21 +10,35 @@
 	DaemonStopping      Event = 1002
 	DaemonStopped       Event = 1003
 	DutyFailed          Event = 1004
+	SettingsRead        Event = 1005
+	SettingsRefused     Event = 1006
+	LogDropped          Event = 1007
 	ConfigInForce       Event = 1101
 	ConfigPublished     Event = 1102
 	ConfigReadFailed    Event = 1103
 	OperatorAction      Event = 1104
 	OperatorRefused     Event = 1105
+	ManifestTaken       Event = 1106
+	ManifestRefused     Event = 1107
+	SetRefused          Event = 1108
+	EntryRefused        Event = 1109
+	SourceLost          Event = 1110
+	SourceBack          Event = 1111
 	SessionUp           Event = 1201
 	SessionDown         Event = 1202
 	MemberChanged       Event = 1203
 	RequestFailed       Event = 1301
 	RequestQuarantined  Event = 1302
+	RequestEnded        Event = 1303
+	RequestRefused      Event = 1304
+	AttemptFailed       Event = 1305
 	TargetDown          Event = 1401
 	TargetUp            Event = 1402
 	TargetEjected       Event = 1403
 	TargetChanged       Event = 1405
 	TargetReadmitted    Event = 1404
+	TargetRegistered    Event = 1406
+	TargetGone          Event = 1407
 	MoveChanged         Event = 1501
 	MoveCut             Event = 1502
 	PlatformUnavailable Event = 1601
@@ -41,16 +55,30 @@
 	DaemonStopping:      {logrus.InfoLevel, "daemon stops: readiness is off, requests in flight finish"},
 	DaemonStopped:       {logrus.InfoLevel, "daemon stopped"},
 	DutyFailed:          {logrus.ErrorLevel, "a duty ended with an error"},
+	SettingsRead:        {logrus.InfoLevel, "settings file was read again"},
+	SettingsRefused:     {logrus.ErrorLevel, "settings file has faults; the settings in force stay"},
+	LogDropped:          {logrus.WarnLevel, "log lines were dropped because the output was too slow"},
 	ConfigInForce:       {logrus.InfoLevel, "configuration generation is in force"},
 	ConfigPublished:     {logrus.InfoLevel, "configuration generation was published"},
 	ConfigReadFailed:    {logrus.WarnLevel, "configuration could not be read"},
 	OperatorAction:      {logrus.InfoLevel, "operator changed the configuration"},
 	OperatorRefused:     {logrus.WarnLevel, "administration request without a valid operator token"},
+	ManifestTaken:       {logrus.InfoLevel, "manifest of the operator was taken"},
+	ManifestRefused:     {logrus.ErrorLevel, "manifest does not pass its check; the one in force stays"},
+	SetRefused:          {logrus.ErrorLevel, "objects do not pass their check as a whole; those in force stay"},
+	EntryRefused:        {logrus.WarnLevel, "entry of the platform's store cannot be read and is skipped"},
+	SourceLost:          {logrus.WarnLevel, "platform's store does not answer; the last picture stays in force"},
+	SourceBack:          {logrus.InfoLevel, "platform's store answers again"},
 	SessionUp:           {logrus.InfoLevel, "session with a peer is up"},
 	SessionDown:         {logrus.WarnLevel, "session with a peer ended"},
 	MemberChanged:       {logrus.InfoLevel, "member changed its state"},
 	RequestFailed:       {logrus.WarnLevel, "request failed after it was accepted"},
 	RequestQuarantined:  {logrus.WarnLevel, "request fingerprint is quarantined"},
+	RequestEnded:        {logrus.InfoLevel, "request ended"},
+	RequestRefused:      {logrus.InfoLevel, "request was refused"},
+	AttemptFailed:       {logrus.InfoLevel, "attempt on a target failed"},
+	TargetRegistered:    {logrus.InfoLevel, "target registered itself or changed its entry"},
+	TargetGone:          {logrus.InfoLevel, "target has left the registry"},
 	TargetDown:          {logrus.WarnLevel, "target does not answer its probe"},
 	TargetUp:            {logrus.InfoLevel, "target answers its probe"},
 	TargetChanged:       {logrus.InfoLevel, "target changed its state"},
--- a/idempotency/batch.go
+++ b/idempotency/batch.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/fault"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 const (
 	// maxEntries leaves one row of the transaction for the batch's index row.
-	maxEntries = platform.MaxTransactionRows - 1
+	maxEntries = provider.MaxTransactionRows - 1
 	// retryDelay is the first delay between calls of a batch; it doubles.
 	retryDelay = 20 * time.Millisecond
 	// maxRetryDelay bounds it.
@@ -81,7 +81,7 @@
 // returns nil when the next transaction can follow at once.
 func (b *batch) attempt(ctx context.Context) error {
 	err := b.claims.commit(ctx, b.writes())
-	var conflict *platform.ConflictError
+	var conflict *provider.ConflictError
 	switch {
 	case err == nil:
 		for _, e := range b.entries {
@@ -111,11 +111,11 @@
 	return false
 }
 
-func (b *batch) writes() []platform.Write {
-	writes := make([]platform.Write, 0, len(b.entries)+1)
+func (b *batch) writes() []provider.Write {
+	writes := make([]provider.Write, 0, len(b.entries)+1)
 	rows := make([]string, 0, len(b.entries))
 	for row, e := range b.entries {
-		writes = append(writes, platform.Write{Key: row, Value: e.record.encode(), IfVersion: e.ifVersion})
+		writes = append(writes, provider.Write{Key: row, Value: e.record.encode(), IfVersion: e.ifVersion})
 		rows = append(rows, row)
 	}
 	return append(writes, indexWrite(time.Now(), b.claims.newToken(), rows))
@@ -146,7 +146,7 @@
 }
 
 // settle compares a row with an entry. Entries of free rows stay in the batch.
-func (b *batch) settle(e *entry, row platform.Row) {
+func (b *batch) settle(e *entry, row provider.Row) {
 	if row.Version == 0 {
 		e.ifVersion = 0
 		return
@@ -201,7 +201,7 @@
 
 // isUnavailable reports whether a commit certainly had no effect.
 func isUnavailable(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown)
+	return errors.Is(err, provider.ErrUnavailable) && !errors.Is(err, provider.ErrUnknown)
 }
 
 // pause reports whether the delay passed before ctx ended.
--- a/idempotency/claims.go
+++ b/idempotency/claims.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marjoramflow/marjoramflow/fault"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/ring"
 )
 
@@ -19,7 +19,7 @@
 
 // Claims claims keys and records how their requests ended. Run must be running.
 type Claims struct {
-	table    platform.Table
+	table    provider.Table
 	options  Options
 	newToken func() string
 
@@ -33,7 +33,7 @@
 }
 
 // New returns Claims over a table.
-func New(table platform.Table, options Options) *Claims {
+func New(table provider.Table, options Options) *Claims {
 	options = options.withDefaults()
 	return &Claims{
 		table:    table,
@@ -195,13 +195,13 @@
 	return b
 }
 
-func (c *Claims) get(ctx context.Context, keys []string) ([]platform.Row, error) {
+func (c *Claims) get(ctx context.Context, keys []string) ([]provider.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	return c.table.Get(ctx, keys...)
 }
 
-func (c *Claims) commit(ctx context.Context, writes []platform.Write) error {
+func (c *Claims) commit(ctx context.Context, writes []provider.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	return c.table.Commit(ctx, writes...)
--- a/idempotency/claims_test.go
+++ b/idempotency/claims_test.go
@@ -12,11 +12,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // start runs Claims until the test of the bubble ends.
-func start(t *testing.T, table platform.Table, options Options) *Claims {
+func start(t *testing.T, table provider.Table, options Options) *Claims {
 	c := New(table, options)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -148,19 +148,19 @@
 type scripted struct {
 	*memory
 	mu   sync.Mutex
-	next []func(writes []platform.Write) error
+	next []func(writes []provider.Write) error
 }
 
 // script replaces the answers that are left.
-func (s *scripted) script(next ...func(writes []platform.Write) error) {
+func (s *scripted) script(next ...func(writes []provider.Write) error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next = next
 }
 
-func (s *scripted) Commit(ctx context.Context, writes ...platform.Write) error {
+func (s *scripted) Commit(ctx context.Context, writes ...provider.Write) error {
 	s.mu.Lock()
-	var f func([]platform.Write) error
+	var f func([]provider.Write) error
 	if len(s.next) > 0 {
 		f, s.next = s.next[0], s.next[1:]
 	}
@@ -177,12 +177,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := &scripted{memory: newMemory()}
 		c := start(t, table, Options{})
-		after := func(w []platform.Write) error {
+		after := func(w []provider.Write) error {
 			_ = table.memory.Commit(context.Background(), w...)
-			return platform.ErrUnknown
+			return provider.ErrUnknown
 		}
-		before := func([]platform.Write) error { return platform.ErrUnknown }
-		refused := func([]platform.Write) error { return platform.ErrUnavailable }
+		before := func([]provider.Write) error { return provider.ErrUnknown }
+		refused := func([]provider.Write) error { return provider.ErrUnavailable }
 		table.script(after)
 		assert.Equal(t, claim(t, c, "after", 1).Outcome, Claimed)
 		table.script(before, before, refused)
@@ -204,7 +204,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			table := &scripted{memory: newMemory()}
 			c := start(t, table, Options{})
-			late := func(w []platform.Write) error {
+			late := func(w []provider.Write) error {
 				if strings.Contains(string(w[0].Value), string(stateAbandoned)) {
 					if tombstone {
 						return table.memory.Commit(context.Background(), w...)
@@ -212,7 +212,7 @@
 					return nil
 				}
 				time.AfterFunc(time.Minute, func() { _ = table.memory.Commit(context.Background(), w...) })
-				return platform.ErrUnknown
+				return provider.ErrUnknown
 			}
 			for range 20 {
 				table.next = append(table.next, late)
@@ -236,9 +236,9 @@
 		table := &scripted{memory: newMemory()}
 		c := start(t, table, Options{})
 		for range 1000 {
-			table.next = append(table.next, func(w []platform.Write) error {
+			table.next = append(table.next, func(w []provider.Write) error {
 				time.Sleep(10 * time.Millisecond)
-				return &platform.ConflictError{Keys: []string{w[0].Key}}
+				return &provider.ConflictError{Keys: []string{w[0].Key}}
 			})
 		}
 		_, err := c.Claim(context.Background(), Key{"s", "a", "k"}, 1)
--- a/idempotency/ends.go
+++ b/idempotency/ends.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marjoramflow/marjoramflow/fault"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // maxEndBytes bounds the answers in one transaction.
@@ -143,7 +143,7 @@
 		return
 	}
 	var open []*end
-	var writes []platform.Write
+	var writes []provider.Write
 	for i, e := range ends {
 		write, settled, err := e.next(rows[i])
 		if settled {
@@ -156,7 +156,7 @@
 	c.commitWrites(ctx, open, writes)
 }
 
-func (c *Claims) commitWrites(ctx context.Context, open []*end, writes []platform.Write) {
+func (c *Claims) commitWrites(ctx context.Context, open []*end, writes []provider.Write) {
 	if len(open) == 0 {
 		return
 	}
@@ -175,7 +175,7 @@
 
 // insertedRows returns the rows that are new, which are those of tombstones. All
 // others are in the index since they were claimed.
-func insertedRows(writes []platform.Write) (rows []string) {
+func insertedRows(writes []provider.Write) (rows []string) {
 	for _, w := range writes {
 		if w.IfVersion == 0 {
 			rows = append(rows, w.Key)
@@ -221,7 +221,7 @@
 
 // next returns the write that an end needs, given its row, or says that the end
 // is settled, with ErrNotHeld when the row is not ours to change.
-func (e *end) next(row platform.Row) (write platform.Write, settled bool, err error) {
+func (e *end) next(row provider.Row) (write provider.Write, settled bool, err error) {
 	var r record
 	if row.Version != 0 {
 		if r, err = decode(row); err != nil {
@@ -243,7 +243,7 @@
 	default:
 		return write, true, fault.Wrap(ErrNotHeld, step+"."+string(e.state), "")
 	}
-	return platform.Write{Key: row.Key, Value: r.encode(), IfVersion: row.Version}, false, nil
+	return provider.Write{Key: row.Key, Value: r.encode(), IfVersion: row.Version}, false, nil
 }
 
 // mayFollow reports whether a row in a state may get the state of this end. A
--- a/idempotency/faults_test.go
+++ b/idempotency/faults_test.go
@@ -12,7 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // simSeeds is the number of fault schedules; MARJORAM_SEEDS sets another one.
@@ -54,12 +54,12 @@
 
 // noTokenCompare makes every row that this daemon tried to claim look like its own.
 type noTokenCompare struct {
-	platform.Table
+	provider.Table
 	mu     sync.Mutex
 	tokens map[string]string
 }
 
-func (n *noTokenCompare) Commit(ctx context.Context, writes ...platform.Write) error {
+func (n *noTokenCompare) Commit(ctx context.Context, writes ...provider.Write) error {
 	n.mu.Lock()
 	for _, w := range writes {
 		var r record
@@ -71,7 +71,7 @@
 	return n.Table.Commit(ctx, writes...)
 }
 
-func (n *noTokenCompare) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (n *noTokenCompare) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	rows, err := n.Table.Get(ctx, keys...)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -87,12 +87,12 @@
 
 // staleReads returns for each row what its first read returned.
 type staleReads struct {
-	platform.Table
+	provider.Table
 	mu    sync.Mutex
-	first map[string]platform.Row
+	first map[string]provider.Row
 }
 
-func (r *staleReads) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (r *staleReads) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	rows, err := r.Table.Get(ctx, keys...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -108,16 +108,16 @@
 
 // rewritten changes the commits of a table.
 type rewritten struct {
-	platform.Table
-	commit func(ctx context.Context, table platform.Table, writes []platform.Write) error
+	provider.Table
+	commit func(ctx context.Context, table provider.Table, writes []provider.Write) error
 }
 
-func (r rewritten) Commit(ctx context.Context, writes ...platform.Write) error {
+func (r rewritten) Commit(ctx context.Context, writes ...provider.Write) error {
 	return r.commit(ctx, r.Table, writes)
 }
 
-func rewrite(f func(ctx context.Context, table platform.Table, writes []platform.Write) error) func(platform.Table) platform.Table {
-	return func(table platform.Table) platform.Table { return rewritten{table, f} }
+func rewrite(f func(ctx context.Context, table provider.Table, writes []provider.Write) error) func(provider.Table) provider.Table {
+	return func(table provider.Table) provider.Table { return rewritten{table, f} }
 }
 
 // Guards against a simulation that cannot fail: with any one guard removed it
@@ -129,22 +129,22 @@
 		want    string
 	}{
 		"no claim": {variant{register: func() register { return noClaim{} }}, twice},
-		"no token compare": {variant{table: func(table platform.Table) platform.Table {
+		"no token compare": {variant{table: func(table provider.Table) provider.Table {
 			return &noTokenCompare{Table: table, tokens: map[string]string{}}
 		}}, twice},
 		"dispatch before the claim is certain": {variant{dispatchOnError: true}, twice},
 		"abandon a request that may have run":  {variant{abandonOnLoss: true}, twice},
 		"not run for a lost answer":            {variant{notRunOnLoss: true}, falseNotRun},
-		"stale reads": {variant{table: func(table platform.Table) platform.Table {
-			return &staleReads{Table: table, first: map[string]platform.Row{}}
+		"stale reads": {variant{table: func(table provider.Table) provider.Table {
+			return &staleReads{Table: table, first: map[string]provider.Row{}}
 		}}, order},
-		"lost answer taken for success": {variant{table: rewrite(func(ctx context.Context, table platform.Table, writes []platform.Write) error {
-			if err := table.Commit(ctx, writes...); !errors.Is(err, platform.ErrUnknown) {
+		"lost answer taken for success": {variant{table: rewrite(func(ctx context.Context, table provider.Table, writes []provider.Write) error {
+			if err := table.Commit(ctx, writes...); !errors.Is(err, provider.ErrUnknown) {
 				return err
 			}
 			return nil
 		})}, twice},
-		"unconditional writes": {variant{table: rewrite(func(ctx context.Context, table platform.Table, writes []platform.Write) error {
+		"unconditional writes": {variant{table: rewrite(func(ctx context.Context, table provider.Table, writes []provider.Write) error {
 			for i := range writes {
 				writes[i].Unconditional = true
 			}
--- a/idempotency/faulty_test.go
+++ b/idempotency/faulty_test.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // faulty loses and delays calls of a table. It runs in a synctest bubble, where
 // a sleep advances the bubble's clock.
 type faulty struct {
-	platform.Table
+	provider.Table
 	mu  sync.Mutex
 	rng *rand.Rand
 	// loss is the chance that a commit has a fault.
@@ -56,32 +56,32 @@
 	return fateOK, before, late
 }
 
-func (f *faulty) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (f *faulty) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	outcome, before, _ := f.draw()
 	time.Sleep(before)
 	if outcome != fateOK {
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
 	rows, err := f.Table.Get(ctx, keys...)
 	time.Sleep(before)
 	return rows, err
 }
 
-func (f *faulty) Commit(ctx context.Context, writes ...platform.Write) error {
+func (f *faulty) Commit(ctx context.Context, writes ...provider.Write) error {
 	outcome, before, late := f.draw()
 	time.Sleep(before)
 	switch outcome {
 	case fateRefused:
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	case fateLostBefore:
-		return platform.ErrUnknown
+		return provider.ErrUnknown
 	case fateLostAfter:
 		_ = f.Table.Commit(ctx, writes...)
-		return platform.ErrUnknown
+		return provider.ErrUnknown
 	case fateLate:
 		// The call is given up while its request is still on the way.
 		time.AfterFunc(late, func() { _ = f.Table.Commit(context.Background(), writes...) })
-		return platform.ErrUnknown
+		return provider.ErrUnknown
 	}
 	err := f.Table.Commit(ctx, writes...)
 	time.Sleep(before)
--- a/idempotency/row.go
+++ b/idempotency/row.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/fault"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 type rowState string
@@ -36,7 +36,7 @@
 	return data
 }
 
-func decode(row platform.Row) (record, error) {
+func decode(row provider.Row) (record, error) {
 	var r record
 	err := json.Unmarshal(row.Value, &r)
 	return r, fault.Wrap(err, step+".decode", row.Key)
--- a/idempotency/sim_test.go
+++ b/idempotency/sim_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // register is what a daemon needs of Claims; naive versions implement it too.
@@ -24,7 +24,7 @@
 // variant is a simulation with a guard removed. The zero value removes none.
 type variant struct {
 	register        func() register
-	table           func(platform.Table) platform.Table
+	table           func(provider.Table) provider.Table
 	dispatchOnError bool
 	abandonOnLoss   bool
 	notRunOnLoss    bool
@@ -77,7 +77,7 @@
 	if s.variant.register != nil {
 		d.register = s.variant.register()
 	} else {
-		var table platform.Table = f
+		var table provider.Table = f
 		if s.variant.table != nil {
 			table = s.variant.table(f)
 		}
--- a/idempotency/sweep.go
+++ b/idempotency/sweep.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/fault"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // Each transaction that inserts rows of claims also writes one index row with
@@ -21,15 +21,15 @@
 const clockMargin = 10 * time.Minute
 
 // sweepList is the number of index rows read at once.
-const sweepList = platform.MaxTransactionRows
+const sweepList = provider.MaxTransactionRows
 
-func indexWrite(now time.Time, token string, rows []string) platform.Write {
+func indexWrite(now time.Time, token string, rows []string) provider.Write {
 	data, err := json.Marshal(rows)
 	if err != nil {
 		// A list of strings can always be encoded.
 		panic(err)
 	}
-	return platform.Write{Key: fmt.Sprintf("%s%013d-%s", indexPrefix, now.UnixMilli(), token), Value: data}
+	return provider.Write{Key: fmt.Sprintf("%s%013d-%s", indexPrefix, now.UnixMilli(), token), Value: data}
 }
 
 // Sweep deletes claims older than KeepFor with at most maxWrites transactions of
@@ -53,7 +53,7 @@
 
 // indexRow is an index row and the claims that it names.
 type indexRow struct {
-	row  platform.Row
+	row  provider.Row
 	keys []string
 }
 
@@ -73,7 +73,7 @@
 			return nil, fault.Wrap(err, step+".sweep", row.Key)
 		}
 		size += len(keys) + 1
-		if row.Key >= bound || size > platform.MaxTransactionRows {
+		if row.Key >= bound || size > provider.MaxTransactionRows {
 			break
 		}
 		out = append(out, indexRow{row: row, keys: keys})
@@ -81,7 +81,7 @@
 	return out, nil
 }
 
-func (c *Claims) list(ctx context.Context) ([]platform.Row, error) {
+func (c *Claims) list(ctx context.Context) ([]provider.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	return c.table.List(ctx, indexPrefix, sweepList)
@@ -90,10 +90,10 @@
 // sweepIndex deletes the old claims that some index rows name, and the index
 // rows. A claim that was made anew after an abandoned one has a newer index row.
 func (c *Claims) sweepIndex(ctx context.Context, index []indexRow, limit time.Time) (int, error) {
-	var writes []platform.Write
+	var writes []provider.Write
 	var keys []string
 	for _, i := range index {
-		writes = append(writes, platform.Write{Key: i.row.Key, IfVersion: i.row.Version, Delete: true})
+		writes = append(writes, provider.Write{Key: i.row.Key, IfVersion: i.row.Version, Delete: true})
 		keys = append(keys, i.keys...)
 	}
 	slices.Sort(keys)
@@ -106,11 +106,11 @@
 			continue
 		}
 		if r, err := decode(row); err == nil && time.UnixMilli(r.ClaimedMs).Before(limit) {
-			writes = append(writes, platform.Write{Key: row.Key, IfVersion: row.Version, Delete: true})
+			writes = append(writes, provider.Write{Key: row.Key, IfVersion: row.Version, Delete: true})
 		}
 	}
 	err = c.commit(ctx, writes)
-	var conflict *platform.ConflictError
+	var conflict *provider.ConflictError
 	if errors.As(err, &conflict) {
 		// A late answer or another sweeper changed a row; the next round sees it.
 		return 0, nil
--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -6,25 +6,25 @@
 	"strings"
 	"sync"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // memory is a table service without faults. Versions come from one counter.
 type memory struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]provider.Row
 	version uint64
 	commits int
 }
 
 func newMemory() *memory {
-	return &memory{rows: map[string]platform.Row{}}
+	return &memory{rows: map[string]provider.Row{}}
 }
 
-func (m *memory) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (m *memory) Get(_ context.Context, keys ...string) ([]provider.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]platform.Row, len(keys))
+	out := make([]provider.Row, len(keys))
 	for i, key := range keys {
 		out[i] = m.rows[key]
 		out[i].Key = key
@@ -32,13 +32,13 @@
 	return out, nil
 }
 
-func (m *memory) Commit(_ context.Context, writes ...platform.Write) error {
+func (m *memory) Commit(_ context.Context, writes ...provider.Write) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(writes) > platform.MaxTransactionRows {
+	if len(writes) > provider.MaxTransactionRows {
 		panic("transaction is too large")
 	}
-	conflict := &platform.ConflictError{}
+	conflict := &provider.ConflictError{}
 	seen := map[string]bool{}
 	for _, w := range writes {
 		if seen[w.Key] {
@@ -58,13 +58,13 @@
 		if w.Delete {
 			delete(m.rows, w.Key)
 		} else {
-			m.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: m.version}
+			m.rows[w.Key] = provider.Row{Key: w.Key, Value: w.Value, Version: m.version}
 		}
 	}
 	return nil
 }
 
-func (m *memory) List(_ context.Context, prefix string, limit int) ([]platform.Row, error) {
+func (m *memory) List(_ context.Context, prefix string, limit int) ([]provider.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var keys []string
@@ -74,7 +74,7 @@
 		}
 	}
 	slices.Sort(keys)
-	var out []platform.Row
+	var out []provider.Row
 	for _, key := range keys[:min(limit, len(keys))] {
 		out = append(out, m.rows[key])
 	}
--- /dev/null
+++ b/ingress/record.go
@@ -0,0 +1,102 @@
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/frontend"
+)
+
+// watchedSink notes when an answer began.
+type watchedSink struct {
+	entry.ForwardSink
+	arrived time.Time
+	status  int
+	first   time.Duration
+	events  int
+}
+
+// Start implements entry.ForwardSink.
+func (w *watchedSink) Start(status int, header http.Header, length int64) error {
+	w.status = status
+	w.first = time.Since(w.arrived)
+	return w.ForwardSink.Start(status, header, length)
+}
+
+// Write implements entry.ForwardSink.
+func (w *watchedSink) Write(p []byte) error {
+	w.events++
+	return w.ForwardSink.Write(p)
+}
+
+// refused logs a call that was refused before the entry took it.
+func (s *Server) refused(c *Call, r *entry.ForwardRequest, refusal *entry.Refusal) error {
+	fields := eventlog.Fields{
+		"request": c.ID,
+		"code":    string(refusal.Code),
+		"status":  refusal.Status,
+		"retryMs": refusal.RetryAfter.Milliseconds(),
+		"host":    c.Host,
+		"path":    c.Path,
+	}
+	if index := s.Index(); index != nil {
+		fields["generation"] = index.Generation
+	}
+	if r != nil {
+		fields["ingress"] = r.Ingress.Name
+		s.Recorder.Request(measure(r, string(refusal.Code), &watchedSink{arrived: c.Arrived}))
+	}
+	s.Logger.Emit(eventlog.RequestRefused, fields)
+	return refusal
+}
+
+// outcomeOK is the outcome of a request whose whole answer came from a target.
+const outcomeOK = "ok"
+
+// record logs and counts a request that the entry ended.
+func (s *Server) record(r *entry.ForwardRequest, w *watchedSink, err error) {
+	outcome := outcomeOK
+	fields := eventlog.Fields{
+		"request": r.ID,
+		"ingress": r.Ingress.Name,
+		"service": r.Service.Name,
+		"tier":    r.Caller.Tier.Name,
+		"prompt":  r.PromptTokens,
+		"status":  w.status,
+		"firstMs": w.first.Milliseconds(),
+		"totalMs": time.Since(r.Arrived).Milliseconds(),
+		"writes":  w.events,
+	}
+	if r.Caller.Account != nil {
+		fields["account"] = r.Caller.Account.Name
+	}
+	if err != nil {
+		refusal := entry.AsRefusal(err)
+		outcome = string(refusal.Code)
+		fields["ran"] = string(refusal.Outcome)
+		fields["retryMs"] = refusal.RetryAfter.Milliseconds()
+		if refusal.Err != nil {
+			fields["cause"] = refusal.Err.Error()
+		}
+	}
+	fields["outcome"] = outcome
+	s.Recorder.Request(measure(r, outcome, w))
+	s.Logger.Emit(eventlog.RequestEnded, fields)
+}
+
+func measure(r *entry.ForwardRequest, outcome string, w *watchedSink) frontend.Measure {
+	m := frontend.Measure{
+		Tier:       r.Caller.Tier.Name,
+		Service:    r.Service.Name,
+		Outcome:    outcome,
+		FirstToken: w.first,
+		Total:      time.Since(r.Arrived),
+		Tokens:     w.events,
+	}
+	if r.Caller.Account != nil {
+		m.Account = r.Caller.Account.Name
+	}
+	return m
+}
--- a/internal/compare/rolloutcompare/world.go
+++ b/internal/compare/rolloutcompare/world.go
@@ -8,7 +8,7 @@
 
 	"github.com/marjoramflow/marjoramflow/internal/memtable"
 	"github.com/marjoramflow/marjoramflow/object"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/rollout"
 )
 
@@ -165,33 +165,33 @@
 	return false
 }
 
-// Get implements platform.Table.
-func (n *node) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements provider.Table.
+func (n *node) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	if n.storeFails() {
 		n.failures++
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
 	return n.w.table.Get(ctx, keys...)
 }
 
-// Commit implements platform.Table. Half of the lost answers are lost requests.
-func (n *node) Commit(ctx context.Context, writes ...platform.Write) error {
+// Commit implements provider.Table. Half of the lost answers are lost requests.
+func (n *node) Commit(ctx context.Context, writes ...provider.Write) error {
 	if n.storeFails() {
 		n.failures++
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	}
 	if n.w.rand.Float64() < n.w.s.lost {
 		n.failures++
 		if n.w.rand.IntN(2) == 0 {
 			_ = n.w.table.Commit(ctx, writes...)
 		}
-		return platform.ErrUnknown
+		return provider.ErrUnknown
 	}
 	return n.w.table.Commit(ctx, writes...)
 }
 
-// List implements platform.Table.
-func (n *node) List(ctx context.Context, prefix string, limit int) ([]platform.Row, error) {
+// List implements provider.Table.
+func (n *node) List(ctx context.Context, prefix string, limit int) ([]provider.Row, error) {
 	return n.w.table.List(ctx, prefix, limit)
 }
 
--- a/internal/ctl/tables.go
+++ b/internal/ctl/tables.go
@@ -18,6 +18,7 @@
 	object.KindTier:          {"name", "rank", "firstToken", "deadline"},
 	object.KindClientAccount: {"name", "tier", "services", "requestsPerSecond", "tokensPerSecond"},
 	object.KindMove:          {"name", "service", "from", "to", "deadline", "attempt", "steps", "soak"},
+	object.KindIngress:       {"name", "host", "prefix", "backends", "repeat", "tier", "timeout"},
 }
 
 func objectTable(kind object.Kind, objects []json.RawMessage) *table {
--- a/internal/members/duty.go
+++ b/internal/members/duty.go
@@ -19,7 +19,7 @@
 	"github.com/marjoramflow/marjoramflow/membership"
 	"github.com/marjoramflow/marjoramflow/peer"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/ring"
 )
 
@@ -47,7 +47,7 @@
 // Config holds the parts of a Duty. All are required.
 type Config struct {
 	Self   membership.Member
-	VMs    platform.VMList
+	VMs    provider.VMList
 	Seeds  []peer.Address
 	Logger *eventlog.Logger
 	// OnLive is called from the duty's goroutine when the live daemons of a data
@@ -56,7 +56,7 @@
 	// OnGone is called when a daemon is dead or has left.
 	OnGone func(daemon string)
 	// OnList is called with each VM list that was read.
-	OnList func([]platform.VM)
+	OnList func([]provider.VM)
 }
 
 // Duty drives the membership table. Run owns the table; the other methods hand
--- a/internal/memtable/memtable.go
+++ b/internal/memtable/memtable.go
@@ -8,7 +8,7 @@
 	"strings"
 	"sync"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // Failure is what happens to one call.
@@ -17,18 +17,18 @@
 const (
 	// None lets the call pass.
 	None Failure = iota
-	// Down refuses the call with platform.ErrUnavailable.
+	// Down refuses the call with provider.ErrUnavailable.
 	Down
-	// LostRequest has no effect and returns platform.ErrUnknown from Commit.
+	// LostRequest has no effect and returns provider.ErrUnknown from Commit.
 	LostRequest
-	// LostAnswer takes effect and returns platform.ErrUnknown from Commit.
+	// LostAnswer takes effect and returns provider.ErrUnknown from Commit.
 	LostAnswer
 )
 
 // Table is a table service in memory. It is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]provider.Row
 	version uint64
 	// fail decides on each call; nil lets all pass.
 	fail func(commit bool) Failure
@@ -36,7 +36,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{rows: make(map[string]platform.Row)}
+	return &Table{rows: make(map[string]provider.Row)}
 }
 
 // SetFailure installs the function that decides the fate of each call. It is
@@ -47,14 +47,14 @@
 	t.fail = fail
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements provider.Table.
+func (t *Table) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if ctx.Err() != nil || t.failure(false) != None {
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
-	rows := make([]platform.Row, len(keys))
+	rows := make([]provider.Row, len(keys))
 	for i, key := range keys {
 		rows[i] = t.rows[key]
 		rows[i].Key = key
@@ -62,41 +62,41 @@
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, writes ...platform.Write) error {
+// Commit implements provider.Table.
+func (t *Table) Commit(ctx context.Context, writes ...provider.Write) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	}
 	failure := t.failure(true)
 	switch failure {
 	case Down:
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	case LostRequest:
-		return platform.ErrUnknown
+		return provider.ErrUnknown
 	}
 	err := t.apply(writes)
 	if failure == LostAnswer {
-		return platform.ErrUnknown
+		return provider.ErrUnknown
 	}
 	return err
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix string, limit int) ([]platform.Row, error) {
+// List implements provider.Table.
+func (t *Table) List(ctx context.Context, prefix string, limit int) ([]provider.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if ctx.Err() != nil || t.failure(false) != None {
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
-	var rows []platform.Row
+	var rows []provider.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b provider.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))], nil
 }
 
@@ -109,7 +109,7 @@
 
 // apply writes all or nothing. Versions are taken from one counter for the whole
 // table, so that nobody can rely on a step of one.
-func (t *Table) apply(writes []platform.Write) error {
+func (t *Table) apply(writes []provider.Write) error {
 	var conflicts []string
 	for _, w := range writes {
 		if !w.Unconditional && t.rows[w.Key].Version != w.IfVersion {
@@ -117,7 +117,7 @@
 		}
 	}
 	if len(conflicts) > 0 {
-		return &platform.ConflictError{Keys: conflicts}
+		return &provider.ConflictError{Keys: conflicts}
 	}
 	for _, w := range writes {
 		t.version++
@@ -125,7 +125,7 @@
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
+		t.rows[w.Key] = provider.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
 	}
 	return nil
 }
--- a/internal/modelcheck/move_model_test.go
+++ b/internal/modelcheck/move_model_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/marjoramflow/marjoramflow/lease"
 	"github.com/marjoramflow/marjoramflow/object"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/rollout"
 )
 
@@ -250,7 +250,7 @@
 }
 
 func (m *moveModel) readRows(s state, p int) state {
-	row := platform.Row{Key: "lease", Version: s.lease.version}
+	row := provider.Row{Key: "lease", Version: s.lease.version}
 	if row.Version != 0 {
 		row.Value, _ = json.Marshal(s.lease.record)
 	}
@@ -343,7 +343,7 @@
 	return fmt.Sprintf("%s%d.%d", name(p), s.procs[p].life, s.procs[p].token)
 }
 
-func (m *moveModel) send(s state, p int, w platform.Write) state {
+func (m *moveModel) send(s state, p int, w provider.Write) state {
 	var record lease.Record
 	if err := json.Unmarshal(w.Value, &record); err != nil {
 		s.broken = err.Error()
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -16,7 +16,7 @@
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/rendezvous"
 	"github.com/marjoramflow/marjoramflow/rollout"
 )
@@ -39,8 +39,8 @@
 	// DataCentres returns the number of data centres, over which the error
 	// probability of the tests is divided.
 	DataCentres int
-	Table       platform.Table
-	Weights     platform.Weights
+	Table       provider.Table
+	Weights     provider.Weights
 	Orders      rollout.Orders
 	Shares      *rollout.Shares
 	Logger      *eventlog.Logger
--- a/internal/probes/probes.go
+++ b/internal/probes/probes.go
@@ -18,7 +18,7 @@
 	"github.com/marjoramflow/marjoramflow/membership"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/owner"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/ring"
 )
 
@@ -65,7 +65,7 @@
 	// targets are those to watch, by name.
 	targets map[string]*object.Target
 	// list is the last VM list, listed the names that were ever in it.
-	list   []platform.VM
+	list   []provider.VM
 	listed map[string]bool
 	// losses collects the fingerprints that ran on targets whose connections broke.
 	losses  map[string]map[uint64]bool
@@ -99,11 +99,11 @@
 }
 
 // SetList takes the platform's list of VMs.
-func (d *Duty) SetList(list []platform.VM) {
+func (d *Duty) SetList(list []provider.VM) {
 	d.events.TryPush(func(now time.Time) {
 		d.list = list
 		for _, vm := range list {
-			if vm.Role == platform.RoleTarget {
+			if vm.Role == provider.RoleTarget {
 				d.listed[vm.Name] = true
 			}
 		}
@@ -115,8 +115,8 @@
 // that was never listed counts as live: the list lags, and the configuration
 // names it.
 func (d *Duty) applyList(now time.Time) {
-	var list []platform.VM
-	present := make(map[string]platform.VM, len(d.list))
+	var list []provider.VM
+	present := make(map[string]provider.VM, len(d.list))
 	for _, vm := range d.list {
 		present[vm.Name] = vm
 	}
@@ -125,11 +125,11 @@
 		if !ok && d.listed[name] {
 			continue
 		}
-		state := platform.VMLive
+		state := provider.VMLive
 		if ok {
 			state = vm.State
 		}
-		list = append(list, platform.VM{Name: name, Address: t.Address, Role: platform.RoleTarget, State: state})
+		list = append(list, provider.VM{Name: name, Address: t.Address, Role: provider.RoleTarget, State: state})
 	}
 	d.perform(d.table.SetList(now, list))
 }
--- a/internal/probes/probes_test.go
+++ b/internal/probes/probes_test.go
@@ -14,7 +14,7 @@
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/owner"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // fleet answers probes and records what the duty tells.
@@ -91,14 +91,14 @@
 	return d, f
 }
 
-func list(leaving string, names ...string) []platform.VM {
-	var vms []platform.VM
+func list(leaving string, names ...string) []provider.VM {
+	var vms []provider.VM
 	for _, name := range names {
-		state := platform.VMLive
+		state := provider.VMLive
 		if name == leaving {
-			state = platform.VMLeaving
+			state = provider.VMLeaving
 		}
-		vms = append(vms, platform.VM{Name: name, Address: "127.0.0.1:1", Role: platform.RoleTarget, State: state})
+		vms = append(vms, provider.VM{Name: name, Address: "127.0.0.1:1", Role: provider.RoleTarget, State: state})
 	}
 	return vms
 }
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,136 @@
+// Package roster lets daemons find one another through the platform's table
+// service: each writes a row with its address, and reads those of the others.
+// Rows of daemons that were killed stay; whoever reads one finds out by dialling.
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/provider"
+)
+
+const (
+	// prefix is the prefix of the rows.
+	prefix = "daemons/"
+	// maxDaemons bounds the rows that are read, above the planned 2,600 daemons.
+	maxDaemons = 5000
+	// callTimeout bounds one call of the table.
+	callTimeout = time.Second
+	// retryPause is the pause after a failed registration.
+	retryPause = 500 * time.Millisecond
+	// quickReads are the first reads, a second apart: daemons that start together
+	// must find one another soon. Later ones follow every readInterval, since a new
+	// daemon dials those that it finds.
+	quickReads   = 3
+	readInterval = 5 * time.Second
+)
+
+// Config holds the parts of a Roster. All are required.
+type Config struct {
+	Self   provider.VM
+	Table  provider.Table
+	Logger *eventlog.Logger
+}
+
+// Roster implements provider.VMList. It is safe for concurrent use.
+type Roster struct {
+	Config
+
+	mu    sync.Mutex
+	reads int
+	next  time.Time
+	last  []provider.VM
+}
+
+// New returns a roster.
+func New(config Config) *Roster {
+	return &Roster{Config: config}
+}
+
+// Run registers the daemon, again and again until the table took it.
+func (r *Roster) Run(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		err := r.register(ctx)
+		if err == nil {
+			return nil
+		}
+		if !failing && ctx.Err() == nil {
+			r.Logger.EmitError(eventlog.PlatformUnavailable, err, nil)
+			failing = true
+		}
+		sleep(ctx, retryPause)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (r *Roster) register(ctx context.Context) error {
+	value, err := json.Marshal(r.Self)
+	if err != nil {
+		return fault.Wrap(err, "roster.encode", r.Self.Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = r.Table.Commit(ctx, provider.Write{Key: prefix + r.Self.Name, Value: value, Unconditional: true})
+	return fault.Wrap(err, "roster.register", "")
+}
+
+// Leave removes the daemon's row.
+func (r *Roster) Leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := r.Table.Commit(ctx, provider.Write{Key: prefix + r.Self.Name, Delete: true, Unconditional: true})
+	return fault.Wrap(err, "roster.leave", "")
+}
+
+// List implements provider.VMList. Between reads it returns the last list.
+func (r *Roster) List(ctx context.Context) ([]provider.VM, error) {
+	now := time.Now()
+	r.mu.Lock()
+	last, due := r.last, !now.Before(r.next)
+	r.mu.Unlock()
+	if !due {
+		return last, nil
+	}
+	rows, err := r.Table.List(ctx, prefix, maxDaemons)
+	if err != nil {
+		return nil, fault.Wrap(err, "roster.list", "")
+	}
+	list := r.decode(rows)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = list
+	r.reads++
+	r.next = now
+	if r.reads > quickReads {
+		r.next = now.Add(readInterval)
+	}
+	return list, nil
+}
+
+func (r *Roster) decode(rows []provider.Row) []provider.VM {
+	list := make([]provider.VM, 0, len(rows))
+	for _, row := range rows {
+		var vm provider.VM
+		if err := json.Unmarshal(row.Value, &vm); err != nil || prefix+vm.Name != row.Key {
+			r.Logger.EmitError(eventlog.EntryRefused, fault.New("roster.decode", row.Key, "row does not describe a daemon"), eventlog.Fields{"key": row.Key})
+			continue
+		}
+		list = append(list, vm)
+	}
+	return list
+}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -14,7 +14,7 @@
 
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/quarantine"
 	"github.com/marjoramflow/marjoramflow/ring"
 )
@@ -38,7 +38,7 @@
 	Self string
 	// Broadcast sends a message to every daemon with a session.
 	Broadcast func(m *peerpb.Envelope)
-	Table     platform.Table
+	Table     provider.Table
 	Logger    *eventlog.Logger
 }
 
@@ -210,7 +210,7 @@
 	if err != nil {
 		return true
 	}
-	err = d.Table.Commit(ctx, platform.Write{
+	err = d.Table.Commit(ctx, provider.Write{
 		Key:           fmt.Sprintf("%s%016x", tablePrefix, n.Fingerprint),
 		Value:         value,
 		Unconditional: true,
--- a/internal/suspects/suspects_test.go
+++ b/internal/suspects/suspects_test.go
@@ -12,7 +12,7 @@
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/internal/memtable"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/quarantine"
 )
 
@@ -35,7 +35,7 @@
 }
 
 // chain runs duties a, b and c over one table; a and c are not connected.
-func chain(t *testing.T, table platform.Table) map[string]*Duty {
+func chain(t *testing.T, table provider.Table) map[string]*Duty {
 	c := &carrier{neighbours: make(map[string][]*Duty)}
 	duties := make(map[string]*Duty)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/fault"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // ErrNotHeld is returned when the lease is not held. Nothing was sent.
@@ -20,7 +20,7 @@
 
 // Config sets up a Keeper.
 type Config struct {
-	Table platform.Table
+	Table provider.Table
 	// Key is the lease's row.
 	Key string
 	// Self names this daemon.
@@ -70,13 +70,13 @@
 }
 
 // Read reads the lease row and, in the same call, the rows of keys.
-func (k *Keeper) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (k *Keeper) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	k.calls.Lock()
 	defer k.calls.Unlock()
 	return k.read(ctx, keys...)
 }
 
-func (k *Keeper) read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (k *Keeper) read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	all := append([]string{k.config.Key}, keys...)
 	ctx, cancel := context.WithTimeout(ctx, k.config.CallTimeout)
 	defer cancel()
@@ -128,8 +128,8 @@
 // Commit applies the writes in one transaction with a renewal of the lease, so
 // that they take effect only if no other process has taken the lease. It returns
 // ErrNotHeld without sending anything when the lease is not held, and
-// platform.ErrUnknown when the outcome could not be read back.
-func (k *Keeper) Commit(ctx context.Context, writes ...platform.Write) error {
+// provider.ErrUnknown when the outcome could not be read back.
+func (k *Keeper) Commit(ctx context.Context, writes ...provider.Write) error {
 	k.calls.Lock()
 	defer k.calls.Unlock()
 	token := k.config.Token()
@@ -143,7 +143,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	return k.commit(ctx, token, append([]platform.Write{renewal}, writes...)...)
+	return k.commit(ctx, token, append([]provider.Write{renewal}, writes...)...)
 }
 
 // Release gives the lease up. The term ends at once; an error only means that
@@ -164,7 +164,7 @@
 
 // commit sends the writes, the lease row's first, and resolves the outcome by
 // the token in the lease row.
-func (k *Keeper) commit(ctx context.Context, token string, writes ...platform.Write) error {
+func (k *Keeper) commit(ctx context.Context, token string, writes ...provider.Write) error {
 	callCtx, cancel := context.WithTimeout(ctx, k.config.CallTimeout)
 	defer cancel()
 	err := k.config.Table.Commit(callCtx, writes...)
@@ -173,7 +173,7 @@
 		k.state.Committed(k.config.Now(), token)
 		k.mu.Unlock()
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, provider.ErrUnavailable) {
 		return fault.Wrap(err, "lease.commit", k.config.Key)
 	}
 	// The read learns the new version, and the outcome when the answer was lost.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/marjoramflow/marjoramflow/internal/memtable"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 type clock struct{ now time.Time }
@@ -18,7 +18,7 @@
 func (c *clock) Now() time.Time        { return c.now }
 func (c *clock) Sleep(d time.Duration) { c.now = c.now.Add(d) }
 
-func newKeeper(table platform.Table, c *clock, name string) *Keeper {
+func newKeeper(table provider.Table, c *clock, name string) *Keeper {
 	n := 0
 	return NewKeeper(Config{
 		Table: table, Key: "leases/x", Self: name, Now: c.Now,
@@ -31,7 +31,7 @@
 	_, err := k.Read(t.Context())
 	assert.NilError(t, err)
 	held, _, err := k.Acquire(t.Context())
-	var conflict *platform.ConflictError
+	var conflict *provider.ConflictError
 	if err != nil && !errors.As(err, &conflict) {
 		t.Fatal(err)
 	}
@@ -70,8 +70,8 @@
 	assert.Assert(t, !acquire(t, b))
 	c.Sleep(11 * time.Second)
 	assert.Assert(t, acquire(t, b))
-	err := a.Commit(t.Context(), platform.Write{Key: "moves/m", Value: []byte("old")})
-	var conflict *platform.ConflictError
+	err := a.Commit(t.Context(), provider.Write{Key: "moves/m", Value: []byte("old")})
+	var conflict *provider.ConflictError
 	assert.Assert(t, errors.As(err, &conflict))
 	rows, err := table.Get(t.Context(), "moves/m")
 	assert.NilError(t, err)
@@ -91,7 +91,7 @@
 		assert.Equal(t, held, failure == memtable.LostAnswer)
 		assert.Assert(t, acquire(t, a))
 		once(table, failure)
-		err = a.Commit(t.Context(), platform.Write{Key: "k", Value: []byte("v")})
+		err = a.Commit(t.Context(), provider.Write{Key: "k", Value: []byte("v")})
 		assert.Equal(t, err == nil, failure == memtable.LostAnswer)
 		rows, err := table.Get(t.Context(), "k")
 		assert.NilError(t, err)
--- a/lease/state.go
+++ b/lease/state.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 const (
@@ -70,7 +70,7 @@
 
 // Read takes in the row as read from the table; now is a time after the answer
 // arrived. An error means that the row's value is not a lease record.
-func (s *State) Read(now time.Time, row platform.Row) error {
+func (s *State) Read(now time.Time, row provider.Row) error {
 	if s.known && row.Version < s.version {
 		return nil
 	}
@@ -146,25 +146,25 @@
 
 // Acquire returns the write that takes the lease with the next fencing number.
 // It must only be called while Claimable; now is a time before it is sent.
-func (s *State) Acquire(now time.Time, token string) platform.Write {
+func (s *State) Acquire(now time.Time, token string) provider.Write {
 	return s.write(now, Record{Holder: s.self, Fence: s.record.Fence + 1, Token: token})
 }
 
 // Renew returns the write that extends our term. It reports false when the lease
 // is not held.
-func (s *State) Renew(now time.Time, token string) (platform.Write, bool) {
+func (s *State) Renew(now time.Time, token string) (provider.Write, bool) {
 	if _, _, ok := s.Held(now); !ok {
-		return platform.Write{}, false
+		return provider.Write{}, false
 	}
 	return s.write(now, Record{Holder: s.self, Fence: s.fence, Token: token}), true
 }
 
 // Release returns the write that gives the lease up and ends our term at once,
 // whether the write takes effect or not.
-func (s *State) Release(now time.Time, token string) (platform.Write, bool) {
+func (s *State) Release(now time.Time, token string) (provider.Write, bool) {
 	fence, _, ok := s.Held(now)
 	if !ok {
-		return platform.Write{}, false
+		return provider.Write{}, false
 	}
 	s.end = time.Time{}
 	s.attempts = [maxAttempts]attempt{}
@@ -189,16 +189,16 @@
 	return s.version
 }
 
-func (s *State) write(now time.Time, r Record) platform.Write {
+func (s *State) write(now time.Time, r Record) provider.Write {
 	copy(s.attempts[1:], s.attempts[:maxAttempts-1])
 	s.attempts[0] = attempt{token: r.Token, fence: r.Fence, sentAt: now}
 	return s.marshal(r)
 }
 
-func (s *State) marshal(r Record) platform.Write {
+func (s *State) marshal(r Record) provider.Write {
 	// A struct of strings, a number and a bool always marshals.
 	value, _ := json.Marshal(r)
-	return platform.Write{Key: s.key, Value: value, IfVersion: s.version}
+	return provider.Write{Key: s.key, Value: value, IfVersion: s.version}
 }
 
 func (s *State) attempt(token string) (attempt, bool) {
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // simulation drives many tables in one goroutine with virtual time. It models
@@ -30,7 +30,7 @@
 	// blocked tells whether two data centres are cut off from each other.
 	blocked func(a, b string) bool
 	bytes   int
-	list    []platform.VM
+	list    []provider.VM
 }
 
 type simNode struct {
@@ -86,9 +86,9 @@
 		for i := range sizes[dataCentre] {
 			name := fmt.Sprintf("%s-%03d", dataCentre, i)
 			s.names = append(s.names, name)
-			s.list = append(s.list, platform.VM{
+			s.list = append(s.list, provider.VM{
 				Name: name, Address: fmt.Sprintf("10.0.%d.%d:7070", len(s.list)/250, len(s.list)%250),
-				DataCentre: dataCentre, Role: platform.RoleEntry, State: platform.VMLive,
+				DataCentre: dataCentre, Role: provider.RoleEntry, State: provider.VMLive,
 			})
 		}
 	}
--- a/membership/table.go
+++ b/membership/table.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 const (
@@ -103,10 +103,10 @@
 // first time becomes live when somebody hears from it. While this table is
 // younger than the grace period it has no evidence yet, and takes listed
 // daemons as live until they prove silent.
-func (t *Table) SetList(now time.Time, list []platform.VM) []Action {
+func (t *Table) SetList(now time.Time, list []provider.VM) []Action {
 	listed := make(map[string]bool, len(list))
 	for _, vm := range list {
-		if vm.Role != platform.RoleEntry || vm.Name == t.self.Name {
+		if vm.Role != provider.RoleEntry || vm.Name == t.self.Name {
 			continue
 		}
 		listed[vm.Name] = true
@@ -121,7 +121,7 @@
 	return t.take()
 }
 
-func (t *Table) listEntry(now time.Time, vm platform.VM) {
+func (t *Table) listEntry(now time.Time, vm provider.VM) {
 	e := t.entries[vm.Name]
 	if e == nil {
 		e = &entry{Member: Member{Name: vm.Name, DataCentre: vm.DataCentre}, since: now}
@@ -131,7 +131,7 @@
 		}
 		t.touch(e)
 	}
-	leaving := vm.State == platform.VMLeaving
+	leaving := vm.State == provider.VMLeaving
 	if !e.inList || e.listLeaving != leaving {
 		t.touch(e)
 	}
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 var sizes = map[string]map[string]int{
@@ -146,7 +146,7 @@
 func TestListThatLosesDaemonsRemovesNone(t *testing.T) {
 	s := newSimulation(t, 4, map[string]int{"a": 30})
 	s.run(15 * time.Second)
-	for _, list := range [][]platform.VM{nil, s.list[:3]} {
+	for _, list := range [][]provider.VM{nil, s.list[:3]} {
 		for _, name := range s.names {
 			s.act(s.nodes[name], s.nodes[name].table.SetList(s.now, list))
 		}
--- a/membership/targets.go
+++ b/membership/targets.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 const (
@@ -115,10 +115,10 @@
 
 // SetList takes the platform's list of VMs. An address change is taken for a
 // new target behind the name, which has to prove itself.
-func (t *Targets) SetList(now time.Time, list []platform.VM) []Action {
+func (t *Targets) SetList(now time.Time, list []provider.VM) []Action {
 	listed := make(map[string]bool, len(list))
 	for _, vm := range list {
-		if vm.Role != platform.RoleTarget {
+		if vm.Role != provider.RoleTarget {
 			continue
 		}
 		listed[vm.Name] = true
@@ -129,7 +129,7 @@
 			t.stale = true
 		}
 		e.vanished, e.held, e.expected = time.Time{}, false, false
-		e.listLeaving = vm.State == platform.VMLeaving
+		e.listLeaving = vm.State == provider.VMLeaving
 		t.update(now, e)
 	}
 	for name, e := range t.entries {
--- a/membership/targets_test.go
+++ b/membership/targets_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 const poolSize = 40
@@ -57,14 +57,14 @@
 	now := time.Unix(1_700_000_000, 0)
 	result := outcome{kept: 1}
 	for second := range 120 {
-		var list []platform.VM
+		var list []provider.VM
 		for i := range poolSize {
 			if r.listed(second, i) {
-				state := platform.VMLive
+				state := provider.VMLive
 				if r.leaving(second, i) {
-					state = platform.VMLeaving
+					state = provider.VMLeaving
 				}
-				list = append(list, platform.VM{Name: targetName(i), Address: "10.1.0.1:80", Role: platform.RoleTarget, State: state})
+				list = append(list, provider.VM{Name: targetName(i), Address: "10.1.0.1:80", Role: provider.RoleTarget, State: state})
 			}
 		}
 		actions := append(pool.SetList(now, list), pool.Tick(now)...)
@@ -132,11 +132,11 @@
 }
 
 // newPool returns a pool of three targets that answered a probe.
-func newPool(now time.Time) (*Targets, []platform.VM) {
+func newPool(now time.Time) (*Targets, []provider.VM) {
 	pool := NewTargets(TargetsConfig{})
-	var list []platform.VM
+	var list []provider.VM
 	for i := range 3 {
-		list = append(list, platform.VM{Name: targetName(i), Address: "10.1.0.1:80", Role: platform.RoleTarget, State: platform.VMLive})
+		list = append(list, provider.VM{Name: targetName(i), Address: "10.1.0.1:80", Role: provider.RoleTarget, State: provider.VMLive})
 	}
 	pool.SetList(now, list)
 	for i := range 3 {
@@ -148,10 +148,10 @@
 // Guards against new work on a target that any of the three marks says leaves.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	now := time.Unix(0, 0)
-	marks := map[string]func(*Targets, []platform.VM){
-		"list":   func(p *Targets, l []platform.VM) { l[0].State = platform.VMLeaving; p.SetList(now, l) },
-		"answer": func(p *Targets, _ []platform.VM) { p.Probed(now, targetName(0), true, true) },
-		"drain":  func(p *Targets, _ []platform.VM) { p.Drain(now, targetName(0), true) },
+	marks := map[string]func(*Targets, []provider.VM){
+		"list":   func(p *Targets, l []provider.VM) { l[0].State = provider.VMLeaving; p.SetList(now, l) },
+		"answer": func(p *Targets, _ []provider.VM) { p.Probed(now, targetName(0), true, true) },
+		"drain":  func(p *Targets, _ []provider.VM) { p.Drain(now, targetName(0), true) },
 	}
 	for name, mark := range marks {
 		pool, list := newPool(now)
--- a/object/check.go
+++ b/object/check.go
@@ -59,6 +59,10 @@
 		c.checkMove(i, &s.Moves[i])
 	}
 	c.checkMoveOverlap()
+	for i := range s.Ingresses {
+		c.checkIngress(i, &s.Ingresses[i])
+	}
+	c.checkIngressClashes()
 	return c.sortedProblems()
 }
 
--- a/object/check_service.go
+++ b/object/check_service.go
@@ -15,7 +15,7 @@
 		c.report(KindService, i, "kind", "kind %q must be %q or %q", o.Kind, ModelService, PlainService)
 	}
 	c.checkVersionOf(KindService, i, "version", o.Version, o.Name)
-	if o.Kind == PlainService && len(o.Routes) == 0 {
+	if o.Kind == PlainService && len(o.Routes) == 0 && !o.Discovered {
 		c.report(KindService, i, "routes", "a plain service needs at least one route")
 	}
 	names := map[string]bool{}
@@ -108,7 +108,7 @@
 	if o.WeightBytes < 0 {
 		c.report(KindVersion, i, "weightBytes", "weightBytes %d is below zero", o.WeightBytes)
 	}
-	if service != nil && !c.served[o.Name] {
+	if service != nil && !service.Discovered && !c.served[o.Name] {
 		c.report(KindVersion, i, "name", "no target of service %q lists the version, so nothing can serve it", o.Service)
 	}
 }
--- a/object/codec.go
+++ b/object/codec.go
@@ -25,6 +25,7 @@
 		Tiers:          sorted(s.Tiers),
 		ClientAccounts: sorted(s.ClientAccounts),
 		Moves:          sorted(s.Moves),
+		Ingresses:      sorted(s.Ingresses),
 	}
 }
 
@@ -75,6 +76,7 @@
 	hashKind(h, KindTier, s.Tiers)
 	hashKind(h, KindClientAccount, s.ClientAccounts)
 	hashKind(h, KindMove, s.Moves)
+	hashKind(h, KindIngress, s.Ingresses)
 	return hex.EncodeToString(h.Sum(nil))
 }
 
--- a/object/delta.go
+++ b/object/delta.go
@@ -23,6 +23,7 @@
 	Tiers          KindDelta[Tier]          `json:"tiers,omitzero"`
 	ClientAccounts KindDelta[ClientAccount] `json:"clientAccounts,omitzero"`
 	Moves          KindDelta[Move]          `json:"moves,omitzero"`
+	Ingresses      KindDelta[Ingress]       `json:"ingresses,omitzero"`
 }
 
 // KindDelta holds the changed objects of one kind.
@@ -53,6 +54,7 @@
 		Tiers:          makeKind(a.Tiers, b.Tiers),
 		ClientAccounts: makeKind(a.ClientAccounts, b.ClientAccounts),
 		Moves:          makeKind(a.Moves, b.Moves),
+		Ingresses:      makeKind(a.Ingresses, b.Ingresses),
 	}, nil
 }
 
@@ -67,6 +69,7 @@
 		Tiers:          applyKind(d.Tiers, s.Tiers),
 		ClientAccounts: applyKind(d.ClientAccounts, s.ClientAccounts),
 		Moves:          applyKind(d.Moves, s.Moves),
+		Ingresses:      applyKind(d.Ingresses, s.Ingresses),
 	}
 	if out.Digest() != d.To {
 		return nil, fault.Wrap(ErrBaseMismatch, "object.apply", "")
--- a/object/diff.go
+++ b/object/diff.go
@@ -54,6 +54,7 @@
 	changes = append(changes, diffKind(KindTier, a.Tiers, b.Tiers)...)
 	changes = append(changes, diffKind(KindClientAccount, a.ClientAccounts, b.ClientAccounts)...)
 	changes = append(changes, diffKind(KindMove, a.Moves, b.Moves)...)
+	changes = append(changes, diffKind(KindIngress, a.Ingresses, b.Ingresses)...)
 	return changes
 }
 
--- a/object/index.go
+++ b/object/index.go
@@ -35,6 +35,7 @@
 	ranked    []*Tier
 	routes    routeTable
 	routesOf  map[string]routeTable
+	ingresses ingressTable
 }
 
 // place is a service in a data centre.
@@ -64,6 +65,7 @@
 	x.ranked = pointers(s.Tiers)
 	slices.SortStableFunc(x.ranked, func(a, b *Tier) int { return cmp.Compare(a.Rank, b.Rank) })
 	x.routes = newRouteTable(s.Services)
+	x.ingresses = newIngressTable(s.Ingresses)
 	x.routesOf = make(map[string]routeTable, len(s.Services))
 	for i := range s.Services {
 		x.routesOf[s.Services[i].Name] = newRouteTable(s.Services[i : i+1])
--- a/object/kinds.go
+++ b/object/kinds.go
@@ -11,6 +11,7 @@
 func (o Tier) objectName() string          { return o.Name }
 func (o ClientAccount) objectName() string { return o.Name }
 func (o Move) objectName() string          { return o.Name }
+func (o Ingress) objectName() string       { return o.Name }
 
 // names returns the names of the objects of a kind, in list order.
 func (s *Set) names(kind Kind) []string {
@@ -27,6 +28,8 @@
 		return namesOf(s.ClientAccounts)
 	case KindMove:
 		return namesOf(s.Moves)
+	case KindIngress:
+		return namesOf(s.Ingresses)
 	}
 	return nil
 }
@@ -49,7 +52,8 @@
 }
 
 // Object returns the object of a kind by name, or nil when there is none. The
-// result is one of *Service, *Target, *Version, *Tier, *ClientAccount and *Move.
+// result is one of *Service, *Target, *Version, *Tier, *ClientAccount, *Move
+// and *Ingress.
 // It scans the set; code on the request path uses an Index.
 func (s *Set) Object(kind Kind, name string) any {
 	switch kind {
@@ -65,6 +69,8 @@
 		return find(s.ClientAccounts, name)
 	case KindMove:
 		return find(s.Moves, name)
+	case KindIngress:
+		return find(s.Ingresses, name)
 	}
 	return nil
 }
--- a/object/parse.go
+++ b/object/parse.go
@@ -80,6 +80,7 @@
 		merged.Tiers = append(merged.Tiers, s.Tiers...)
 		merged.ClientAccounts = append(merged.ClientAccounts, s.ClientAccounts...)
 		merged.Moves = append(merged.Moves, s.Moves...)
+		merged.Ingresses = append(merged.Ingresses, s.Ingresses...)
 	}
 	return merged
 }
--- a/object/problem.go
+++ b/object/problem.go
@@ -18,11 +18,12 @@
 	KindTier          Kind = "tier"
 	KindClientAccount Kind = "clientAccount"
 	KindMove          Kind = "move"
+	KindIngress       Kind = "ingress"
 )
 
 // Kinds lists all kinds in the order of a set.
 func Kinds() []Kind {
-	return []Kind{KindService, KindTarget, KindVersion, KindTier, KindClientAccount, KindMove}
+	return []Kind{KindService, KindTarget, KindVersion, KindTier, KindClientAccount, KindMove, KindIngress}
 }
 
 // listKey is the key of the kind's list in a file, such as "targets".
--- a/object/types.go
+++ b/object/types.go
@@ -11,6 +11,7 @@
 	Tiers          []Tier          `json:"tiers" yaml:"tiers"`
 	ClientAccounts []ClientAccount `json:"clientAccounts" yaml:"clientAccounts"`
 	Moves          []Move          `json:"moves" yaml:"moves"`
+	Ingresses      []Ingress       `json:"ingresses,omitempty" yaml:"ingresses,omitempty"`
 
 	// Positions says where the objects were read from. It is not part of the
 	// content: it is neither encoded nor compared, and may be nil.
@@ -43,6 +44,13 @@
 	// Routes are the calls of the service. A model service has one route,
 	// chat completions, unless it names more.
 	Routes []Route `json:"routes,omitempty" yaml:"routes,omitempty"`
+	// Discovered services have targets that register themselves. There may be none
+	// of a version for a while, and their calls are those of the ingresses.
+	Discovered bool `json:"discovered,omitempty" yaml:"discovered,omitempty"`
+	// EventTokens is the number of tokens in one event of its streams.
+	EventTokens int `json:"eventTokens,omitempty" yaml:"eventTokens,omitempty"`
+	// HealthPath is the path of the health check of a discovered target.
+	HealthPath string `json:"healthPath,omitempty" yaml:"healthPath,omitempty"`
 }
 
 // AllRoutes returns the routes of the service, or the default route of a model
@@ -125,6 +133,8 @@
 	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty" yaml:"requestsPerSecond,omitempty"`
 	// TokensPerSecond limits prompt and output tokens over all daemons; 0 is no limit.
 	TokensPerSecond float64 `json:"tokensPerSecond,omitempty" yaml:"tokensPerSecond,omitempty"`
+	// TokensPerCall is what a call that states no token counts takes of TokensPerSecond.
+	TokensPerCall int `json:"tokensPerCall,omitempty" yaml:"tokensPerCall,omitempty"`
 	// TokenDigests are SHA-256 digests (hex) of the bearer tokens of the account.
 	TokenDigests []string `json:"tokenDigests,omitempty" yaml:"tokenDigests,omitempty"`
 }
--- a/provider/httpplatform/client.go
+++ b/provider/httpplatform/client.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/fault"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 const (
@@ -27,7 +27,7 @@
 )
 
 // Client speaks to one platform service by its base URL. It implements
-// platform.Table, and through its views the other ports. It is safe for
+// provider.Table, and through its views the other ports. It is safe for
 // concurrent use.
 type Client struct {
 	base string
@@ -39,7 +39,7 @@
 func New(base string) (*Client, error) {
 	u, err := url.Parse(base)
 	if err != nil || u.Host == "" {
-		return nil, fault.New("platform.url", base, "not an absolute URL")
+		return nil, fault.New("provider.url", base, "not an absolute URL")
 	}
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -54,11 +54,11 @@
 }
 
 type rowsBody struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []provider.Row `json:"rows"`
 }
 
 type writesBody struct {
-	Writes []platform.Write `json:"writes"`
+	Writes []provider.Write `json:"writes"`
 }
 
 type listBody struct {
@@ -76,27 +76,27 @@
 }
 
 type vmsBody struct {
-	VMs []platform.VM `json:"vms"`
+	VMs []provider.VM `json:"vms"`
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements provider.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	var out rowsBody
 	err := c.call(ctx, "table.get", "/v1/rows:get", keysBody{Keys: keys}, &out)
 	return out.Rows, err
 }
 
-// List implements platform.Table.
-func (c *Client) List(ctx context.Context, prefix string, limit int) ([]platform.Row, error) {
+// List implements provider.Table.
+func (c *Client) List(ctx context.Context, prefix string, limit int) ([]provider.Row, error) {
 	var out rowsBody
 	err := c.call(ctx, "table.list", "/v1/rows:list", listBody{Prefix: prefix, Limit: limit}, &out)
 	return out.Rows, err
 }
 
-// Commit implements platform.Table.
-func (c *Client) Commit(ctx context.Context, writes ...platform.Write) error {
-	if len(writes) > platform.MaxTransactionRows {
-		return fault.New("table.commit", c.peer, fmt.Sprintf("%d writes in one transaction, at most %d", len(writes), platform.MaxTransactionRows))
+// Commit implements provider.Table.
+func (c *Client) Commit(ctx context.Context, writes ...provider.Write) error {
+	if len(writes) > provider.MaxTransactionRows {
+		return fault.New("table.commit", c.peer, fmt.Sprintf("%d writes in one transaction, at most %d", len(writes), provider.MaxTransactionRows))
 	}
 	return c.call(ctx, "table.commit", "/v1/rows:commit", writesBody{Writes: writes}, nil)
 }
@@ -114,12 +114,12 @@
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return fault.Wrap(errors.Join(platform.ErrUnknown, err), step, c.peer)
+		return fault.Wrap(errors.Join(provider.ErrUnknown, err), step, c.peer)
 	}
 	return c.decode(step, resp.StatusCode, data, out)
 }
 
-// decode maps a status to the errors of package platform.
+// decode maps a status to the errors of package provider.
 func (c *Client) decode(step string, status int, data []byte, out any) error {
 	switch {
 	case status == http.StatusConflict:
@@ -127,11 +127,11 @@
 		if err := json.Unmarshal(data, &keys); err != nil {
 			return fault.Wrap(err, step, c.peer)
 		}
-		return &platform.ConflictError{Keys: keys.Keys}
+		return &provider.ConflictError{Keys: keys.Keys}
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
-		return fault.Wrap(platform.ErrUnavailable, step, c.peer)
+		return fault.Wrap(provider.ErrUnavailable, step, c.peer)
 	case status >= http.StatusInternalServerError:
-		return fault.Wrap(platform.ErrUnknown, step, c.peer)
+		return fault.Wrap(provider.ErrUnknown, step, c.peer)
 	case status >= http.StatusMultipleChoices:
 		return fault.New(step, c.peer, fmt.Sprintf("status %d: %.200s", status, data))
 	case out == nil:
@@ -155,15 +155,15 @@
 	if err == nil {
 		return resp, nil
 	}
-	kind := platform.ErrUnknown
+	kind := provider.ErrUnknown
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		kind = platform.ErrUnavailable
+		kind = provider.ErrUnavailable
 	}
 	return nil, fault.Wrap(errors.Join(kind, err), step, c.peer)
 }
 
-// Put implements platform.Objects.
+// Put implements provider.Objects.
 func (c *Client) Put(ctx context.Context, name string, data []byte) error {
 	resp, err := c.send(ctx, "objects.put", http.MethodPut, "/v1/objects/"+url.PathEscape(name), data)
 	if err != nil {
@@ -173,7 +173,7 @@
 	return c.decode("objects.put", resp.StatusCode, nil, nil)
 }
 
-// GetObject returns the content of an object, or platform.ErrNotFound.
+// GetObject returns the content of an object, or provider.ErrNotFound.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
 	const step = "objects.get"
 	resp, err := c.send(ctx, step, http.MethodGet, "/v1/objects/"+url.PathEscape(name), nil)
@@ -182,7 +182,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusNotFound {
-		return nil, fault.Wrap(platform.ErrNotFound, step, c.peer)
+		return nil, fault.Wrap(provider.ErrNotFound, step, c.peer)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
@@ -191,30 +191,30 @@
 	return data, c.decode(step, resp.StatusCode, data, nil)
 }
 
-// Objects is the platform.Objects view of a client.
+// Objects is the provider.Objects view of a client.
 type Objects struct {
 	*Client
 }
 
-// Get implements platform.Objects.
+// Get implements provider.Objects.
 func (o Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	return o.GetObject(ctx, name)
 }
 
-// Reserve implements platform.Weights.
+// Reserve implements provider.Weights.
 func (c *Client) Reserve(ctx context.Context, version string, size int64) (time.Duration, error) {
 	var out waitBody
 	err := c.call(ctx, "weights.reserve", "/v1/weights:reserve", reserveBody{Version: version, Bytes: size}, &out)
 	return time.Duration(out.WaitMs) * time.Millisecond, err
 }
 
-// VMs is the platform.VMList view of a client.
+// VMs is the provider.VMList view of a client.
 type VMs struct {
 	*Client
 }
 
-// List implements platform.VMList.
-func (v VMs) List(ctx context.Context) ([]platform.VM, error) {
+// List implements provider.VMList.
+func (v VMs) List(ctx context.Context) ([]provider.VM, error) {
 	const step = "vms.list"
 	resp, err := v.send(ctx, step, http.MethodGet, "/v1/vms", nil)
 	if err != nil {
@@ -231,8 +231,8 @@
 }
 
 var (
-	_ platform.Table   = (*Client)(nil)
-	_ platform.Objects = Objects{}
-	_ platform.Weights = (*Client)(nil)
-	_ platform.VMList  = VMs{}
+	_ provider.Table   = (*Client)(nil)
+	_ provider.Objects = Objects{}
+	_ provider.Weights = (*Client)(nil)
+	_ provider.VMList  = VMs{}
 )
--- a/provider/httpplatform/client_test.go
+++ b/provider/httpplatform/client_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 func client(t *testing.T, handler http.HandlerFunc) *Client {
@@ -30,14 +30,14 @@
 		want   error
 	}{
 		{"applied", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }, nil},
-		{"unavailable", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, platform.ErrUnavailable},
-		{"over the rate", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, platform.ErrUnavailable},
-		{"internal error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, platform.ErrUnknown},
-		{"connection cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, platform.ErrUnknown},
+		{"unavailable", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, provider.ErrUnavailable},
+		{"over the rate", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, provider.ErrUnavailable},
+		{"internal error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, provider.ErrUnknown},
+		{"connection cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, provider.ErrUnknown},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			err := client(t, tc.answer).Commit(t.Context(), platform.Write{Key: "k"})
+			err := client(t, tc.answer).Commit(t.Context(), provider.Write{Key: "k"})
 			assert.Assert(t, errors.Is(err, tc.want), "%v", err)
 		})
 	}
@@ -49,8 +49,8 @@
 		w.WriteHeader(http.StatusConflict)
 		_, _ = w.Write([]byte(`{"keys":["a","b"]}`))
 	})
-	var conflict *platform.ConflictError
-	assert.Assert(t, errors.As(c.Commit(t.Context(), platform.Write{Key: "a"}), &conflict))
+	var conflict *provider.ConflictError
+	assert.Assert(t, errors.As(c.Commit(t.Context(), provider.Write{Key: "a"}), &conflict))
 	assert.DeepEqual(t, conflict.Keys, []string{"a", "b"})
 }
 
@@ -62,7 +62,7 @@
 	assert.NilError(t, l.Close())
 	c, err := New("http://" + address)
 	assert.NilError(t, err)
-	assert.ErrorIs(t, c.Commit(t.Context(), platform.Write{Key: "k"}), platform.ErrUnavailable)
+	assert.ErrorIs(t, c.Commit(t.Context(), provider.Write{Key: "k"}), provider.ErrUnavailable)
 }
 
 // Guards against object names whose slash becomes a path.
@@ -78,5 +78,5 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(data), "content")
 	_, err = Objects{Client: c}.Get(t.Context(), "missing")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, provider.ErrNotFound)
 }
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,12 +1,12 @@
-// Package platform defines the ports to the platform's services: a
+// Package provider defines the ports to the platform's services: a
 // transactional table service, an object store, a rate-limited weight store
-// and the list of VMs. Adapters live under provider/. Decisions depend on these
+// and the list of VMs. Adapters implement them. Decisions depend on these
 // interfaces only, so that another published protocol needs a new adapter and
 // nothing else.
 //
 // All methods are safe for concurrent use. Every method honours the context's
 // deadline.
-package platform
+package provider
 
 import (
 	"context"
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -8,7 +8,7 @@
 
 	"github.com/marjoramflow/marjoramflow/lease"
 	"github.com/marjoramflow/marjoramflow/object"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // Orders sends control commands to targets.
@@ -27,9 +27,9 @@
 
 // Config sets up a Controller.
 type Config struct {
-	Table   platform.Table
+	Table   provider.Table
 	Orders  Orders
-	Weights platform.Weights
+	Weights provider.Weights
 	Notify  Notify
 	// Self names this daemon.
 	Self string
--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/marjoramflow/marjoramflow/internal/memtable"
 	"github.com/marjoramflow/marjoramflow/object"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // fleet is the targets of a test: it records the orders that they execute.
@@ -126,7 +126,7 @@
 	shares     *Shares
 }
 
-func startDaemons(ctx context.Context, table platform.Table, orders Orders, set *object.Set, hooks ...func(Point)) []daemon {
+func startDaemons(ctx context.Context, table provider.Table, orders Orders, set *object.Set, hooks ...func(Point)) []daemon {
 	p := &peers{}
 	for range hooks {
 		p.all = append(p.all, NewShares())
@@ -292,14 +292,14 @@
 
 // hangingTable answers nothing while it hangs.
 type hangingTable struct {
-	platform.Table
+	provider.Table
 	hangs atomic.Bool
 }
 
-func (h *hangingTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (h *hangingTable) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	if h.hangs.Load() {
 		<-ctx.Done()
-		return nil, platform.ErrUnavailable
+		return nil, provider.ErrUnavailable
 	}
 	return h.Table.Get(ctx, keys...)
 }
--- a/rollout/group.go
+++ b/rollout/group.go
@@ -8,11 +8,11 @@
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/lease"
 	"github.com/marjoramflow/marjoramflow/object"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // group is the moves of one service, which share a lease. Fields are guarded by
-// the controller's mutex, which is not held during calls to the platform.
+// the controller's mutex, which is not held during calls to the provider.
 type group struct {
 	c       *Controller
 	service string
@@ -170,7 +170,7 @@
 	return nil
 }
 
-func (g *group) learn(name string, row platform.Row) {
+func (g *group) learn(name string, row provider.Row) {
 	decoded, err := DecodeRow(row.Value)
 	if err != nil {
 		g.note(err)
@@ -336,7 +336,7 @@
 // write commits a row together with the lease and reads the result back.
 func (g *group) write(ctx context.Context, a WriteRow) time.Duration {
 	g.c.config.Hook(BeforeWrite)
-	err := g.keeper.Commit(ctx, platform.Write{
+	err := g.keeper.Commit(ctx, provider.Write{
 		Key: RowKey(a.Row.Move), Value: a.Row.Encode(), IfVersion: a.IfVersion,
 	})
 	if err != nil {
--- a/settings/check.go
+++ b/settings/check.go
@@ -74,7 +74,11 @@
 	c.name("dataCentre", s.DataCentre, placePattern)
 	c.name("region", s.Region, placePattern)
 	c.listen(s)
-	c.platform(s.Platform)
+	if s.Gateway.Enabled() {
+		c.gateway(s)
+	} else {
+		c.platform(s.Platform)
+	}
 	c.seeds(s)
 	c.tls(s.TLS)
 	c.tokens(s.Tokens)
@@ -119,9 +123,16 @@
 func (c *checker) listen(s *Settings) {
 	addresses := []struct{ key, value string }{
 		{"listen.callers", s.Listen.Callers},
-		{"listen.admin", s.Listen.Admin},
 		{"listen.peers", s.Listen.Peers},
 	}
+	if !s.Gateway.Enabled() || s.Listen.Admin != "" {
+		addresses = append(addresses, struct{ key, value string }{"listen.admin", s.Listen.Admin})
+	}
+	if s.Gateway.Enabled() {
+		addresses = append(addresses,
+			struct{ key, value string }{"gateway.ready", s.Gateway.Ready},
+			struct{ key, value string }{"gateway.metrics", s.Gateway.Metrics})
+	}
 	var taken []netip.AddrPort
 	var keys []string
 	for _, a := range addresses {
@@ -161,6 +172,25 @@
 	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port()), true
 }
 
+// gateway checks what a daemon on a platform with a metadata store needs.
+func (c *checker) gateway(s *Settings) {
+	g := &s.Gateway
+	c.address("gateway.store", g.Store)
+	c.duration("gateway.grace", g.Grace)
+	c.duration("gateway.retryWindow", g.RetryWindow)
+	c.positive("gateway.memoryMb", float64(g.MemoryMB))
+	if g.RetryRatio < 0 || g.RetrySlack < 0 {
+		c.report("gateway.retryRatio", "retryRatio %v and retrySlack %d must not be below zero", g.RetryRatio, g.RetrySlack)
+	}
+	for dataCentre, region := range g.DataCentres {
+		c.name("gateway.dataCentres", dataCentre, placePattern)
+		c.name("gateway.dataCentres."+dataCentre, region, placePattern)
+	}
+	if g.DataCentres[s.DataCentre] != s.Region {
+		c.report("gateway.dataCentres", "data centre %q must be listed with region %q", s.DataCentre, s.Region)
+	}
+}
+
 func (c *checker) platform(p Platform) {
 	c.baseURL("platform.table", p.Table)
 	c.baseURL("platform.objects", p.Objects)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,32 @@
 	Tokens Tokens `yaml:"tokens"`
 	Limits Limits `yaml:"limits"`
 	Log    Log    `yaml:"log"`
+	// Gateway makes the daemon serve opaque requests of a platform that holds the
+	// configuration itself; without a store, the product's own interface is served.
+	Gateway Gateway `yaml:"gateway"`
+}
+
+// Gateway holds what a daemon needs on a platform with a metadata store, a registry
+// of targets and a manifest. The services under Platform and the tokens are not
+// used then.
+type Gateway struct {
+	// Store is the address (IP:port) of the metadata store.
+	Store string `yaml:"store"`
+	// Ready and Metrics are the addresses (IP:port) of the readiness probe and of
+	// the metrics.
+	Ready   string `yaml:"ready"`
+	Metrics string `yaml:"metrics"`
+	// DataCentres names the region of each data centre.
+	DataCentres map[string]string `yaml:"dataCentres"`
+	// Grace is the time between the request to stop and the end by force.
+	Grace time.Duration `yaml:"grace"`
+	// RetryRatio is the share of a service's requests that all daemons together may
+	// send again, with RetrySlack more in each RetryWindow.
+	RetryRatio  float64       `yaml:"retryRatio"`
+	RetryWindow time.Duration `yaml:"retryWindow"`
+	RetrySlack  int           `yaml:"retrySlack"`
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int `yaml:"memoryMb"`
 }
 
 // Seed is a peer that is known without the VM list.
@@ -177,3 +203,8 @@
 	_, err = w.Write(data)
 	return fault.Wrap(err, "settings.dump", "")
 }
+
+// Enabled says whether the daemon runs on a platform with a metadata store.
+func (g *Gateway) Enabled() bool {
+	return g.Store != ""
+}
--- a/store/client.go
+++ b/store/client.go
@@ -12,7 +12,7 @@
 
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/fault"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // Default limits of one daemon.
@@ -27,14 +27,14 @@
 
 var (
 	// ErrBudget is returned when the budget would not allow the call within the
-	// timeout, or before its context ends. It wraps platform.ErrUnavailable.
-	ErrBudget = fmt.Errorf("the daemon's budget of store calls is used up: %w", platform.ErrUnavailable)
+	// timeout, or before its context ends. It wraps provider.ErrUnavailable.
+	ErrBudget = fmt.Errorf("the daemon's budget of store calls is used up: %w", provider.ErrUnavailable)
 	// ErrBreakerOpen is returned while the service does not answer. It wraps
-	// platform.ErrUnavailable.
-	ErrBreakerOpen = fmt.Errorf("the service did not answer lately: %w", platform.ErrUnavailable)
+	// provider.ErrUnavailable.
+	ErrBreakerOpen = fmt.Errorf("the service did not answer lately: %w", provider.ErrUnavailable)
 	// ErrNoAnswer is returned for a read without an answer within the timeout. It
-	// wraps platform.ErrUnavailable.
-	ErrNoAnswer = fmt.Errorf("no answer within the timeout: %w", platform.ErrUnavailable)
+	// wraps provider.ErrUnavailable.
+	ErrNoAnswer = fmt.Errorf("no answer within the timeout: %w", provider.ErrUnavailable)
 )
 
 // Limits bound the calls of one daemon. Zero values take defaults.
@@ -50,8 +50,8 @@
 
 // Config configures a Client.
 type Config struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   provider.Table
+	Objects provider.Objects
 	Limits  Limits
 	Logger  *eventlog.Logger
 }
@@ -78,11 +78,11 @@
 	unknown, resolvedApplied, resolvedRepeated atomic.Uint64
 }
 
-// Client implements platform.Table; Objects returns the other view. It is safe
+// Client implements provider.Table; Objects returns the other view. It is safe
 // for concurrent use.
 type Client struct {
-	table   platform.Table
-	objects platform.Objects
+	table   provider.Table
+	objects provider.Objects
 	logger  *eventlog.Logger
 	timeout time.Duration
 	// notBefore is the time of the earliest call.
@@ -136,8 +136,8 @@
 	return l
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, keys ...string) (rows []platform.Row, err error) {
+// Get implements provider.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) (rows []provider.Row, err error) {
 	err = c.read(ctx, &c.tableBreaker, "table.get", func(ctx context.Context) error {
 		rows, err = c.table.Get(ctx, keys...)
 		return err
@@ -145,8 +145,8 @@
 	return rows, err
 }
 
-// List implements platform.Table.
-func (c *Client) List(ctx context.Context, prefix string, limit int) (rows []platform.Row, err error) {
+// List implements provider.Table.
+func (c *Client) List(ctx context.Context, prefix string, limit int) (rows []provider.Row, err error) {
 	err = c.read(ctx, &c.tableBreaker, "table.list", func(ctx context.Context) error {
 		rows, err = c.table.List(ctx, prefix, limit)
 		return err
@@ -154,22 +154,22 @@
 	return rows, err
 }
 
-// Commit implements platform.Table. It makes one attempt.
-func (c *Client) Commit(ctx context.Context, writes ...platform.Write) error {
+// Commit implements provider.Table. It makes one attempt.
+func (c *Client) Commit(ctx context.Context, writes ...provider.Write) error {
 	return c.write(ctx, &c.tableBreaker, "table.commit", func(ctx context.Context) error {
 		return c.table.Commit(ctx, writes...)
 	})
 }
 
-// Objects returns the view that implements platform.Objects, with the same
+// Objects returns the view that implements provider.Objects, with the same
 // budget.
-func (c *Client) Objects() platform.Objects {
+func (c *Client) Objects() provider.Objects {
 	return objectView{c}
 }
 
 type objectView struct{ client *Client }
 
-// Put implements platform.Objects.
+// Put implements provider.Objects.
 func (v objectView) Put(ctx context.Context, name string, data []byte) error {
 	c := v.client
 	return c.write(ctx, &c.objectBreaker, "object.put", func(ctx context.Context) error {
@@ -177,7 +177,7 @@
 	})
 }
 
-// Get implements platform.Objects.
+// Get implements provider.Objects.
 func (v objectView) Get(ctx context.Context, name string) (data []byte, err error) {
 	c := v.client
 	err = c.read(ctx, &c.objectBreaker, "object.get", func(ctx context.Context) error {
@@ -205,7 +205,7 @@
 
 func (c *Client) read(ctx context.Context, b *breaker, step string, call func(context.Context) error) error {
 	err := c.do(ctx, b, c.reads, &c.stats.reads, step, call)
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, provider.ErrUnknown) {
 		err = fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	return fault.Wrap(err, step, "")
@@ -215,8 +215,8 @@
 	err := c.do(ctx, b, c.writes, &c.stats.writes, step, call)
 	if err != nil && !hadNoEffect(err) {
 		c.stats.unknown.Add(1)
-		if !errors.Is(err, platform.ErrUnknown) {
-			err = errors.Join(platform.ErrUnknown, err)
+		if !errors.Is(err, provider.ErrUnknown) {
+			err = errors.Join(provider.ErrUnknown, err)
 		}
 	}
 	return fault.Wrap(err, step, "")
@@ -284,17 +284,17 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return errors.Join(platform.ErrUnavailable, ctx.Err())
+		return errors.Join(provider.ErrUnavailable, ctx.Err())
 	}
 }
 
 // isAnswer tells whether an error is an answer of a service that works.
 func isAnswer(err error) bool {
-	var conflict *platform.ConflictError
-	return errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound)
+	var conflict *provider.ConflictError
+	return errors.As(err, &conflict) || errors.Is(err, provider.ErrNotFound)
 }
 
 // hadNoEffect tells whether a write that returned err changed nothing.
 func hadNoEffect(err error) bool {
-	return isAnswer(err) || errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown)
+	return isAnswer(err) || errors.Is(err, provider.ErrUnavailable) && !errors.Is(err, provider.ErrUnknown)
 }
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -12,7 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // fakeTable is a table in memory with faults. It counts the calls that reach it
@@ -21,7 +21,7 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	start   time.Time
-	rows    map[string]platform.Row
+	rows    map[string]provider.Row
 	version uint64
 	// silent calls get no answer until their context ends; refused ones fail at
 	// once.
@@ -36,7 +36,7 @@
 	return &fakeTable{
 		random:    rand.New(rand.NewPCG(seed, 6)),
 		start:     time.Now(),
-		rows:      map[string]platform.Row{},
+		rows:      map[string]provider.Row{},
 		latency:   5 * time.Millisecond,
 		perSecond: map[int]int{},
 	}
@@ -49,7 +49,7 @@
 	silent, refused, latency := f.silent, f.refused, f.latency
 	f.mu.Unlock()
 	if refused {
-		return platform.ErrUnavailable
+		return provider.ErrUnavailable
 	}
 	if silent {
 		<-ctx.Done()
@@ -63,13 +63,13 @@
 	}
 }
 
-func (f *fakeTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (f *fakeTable) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	if err := f.enter(ctx); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	rows := make([]platform.Row, len(keys))
+	rows := make([]provider.Row, len(keys))
 	for i, key := range keys {
 		rows[i] = f.rows[key]
 		rows[i].Key = key
@@ -77,30 +77,30 @@
 	return rows, nil
 }
 
-func (f *fakeTable) List(ctx context.Context, _ string, _ int) ([]platform.Row, error) {
+func (f *fakeTable) List(ctx context.Context, _ string, _ int) ([]provider.Row, error) {
 	return nil, f.enter(ctx)
 }
 
-func (f *fakeTable) Commit(ctx context.Context, writes ...platform.Write) error {
+func (f *fakeTable) Commit(ctx context.Context, writes ...provider.Write) error {
 	if err := f.enter(ctx); err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.random.Float64() < f.loseBefore {
-		return platform.ErrUnknown
+		return provider.ErrUnknown
 	}
 	for _, w := range writes {
 		if f.rows[w.Key].Version != w.IfVersion {
-			return &platform.ConflictError{Keys: []string{w.Key}}
+			return &provider.ConflictError{Keys: []string{w.Key}}
 		}
 	}
 	for _, w := range writes {
 		f.version++
-		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.version}
+		f.rows[w.Key] = provider.Row{Key: w.Key, Value: w.Value, Version: f.version}
 	}
 	if f.random.Float64() < f.loseAfter {
-		return platform.ErrUnknown
+		return provider.ErrUnknown
 	}
 	return nil
 }
@@ -136,7 +136,7 @@
 			tasks.Go(func() {
 				for ctx.Err() == nil {
 					_, err := c.Get(ctx, "k")
-					assert.Check(t, err == nil || errors.Is(err, platform.ErrUnavailable), "%v", err)
+					assert.Check(t, err == nil || errors.Is(err, provider.ErrUnavailable), "%v", err)
 					// A refusal takes no virtual time.
 					time.Sleep(10 * time.Millisecond)
 				}
@@ -159,9 +159,9 @@
 		begin := time.Now()
 		_, err := c.Get(t.Context(), "k")
 		assert.Equal(t, time.Since(begin), time.Second)
-		assert.Assert(t, errors.Is(err, ErrNoAnswer) && errors.Is(err, platform.ErrUnavailable))
-		err = c.Commit(t.Context(), platform.Write{Key: "k"})
-		assert.ErrorIs(t, err, platform.ErrUnknown)
+		assert.Assert(t, errors.Is(err, ErrNoAnswer) && errors.Is(err, provider.ErrUnavailable))
+		err = c.Commit(t.Context(), provider.Write{Key: "k"})
+		assert.ErrorIs(t, err, provider.ErrUnknown)
 		assert.Equal(t, c.Stats().Timeouts, uint64(2))
 	})
 }
@@ -194,8 +194,8 @@
 		f := newFakeTable(1)
 		c := newClient(f, Limits{})
 		for range 3 * openAfter {
-			err := c.Commit(t.Context(), platform.Write{Key: "k", IfVersion: 99})
-			var conflict *platform.ConflictError
+			err := c.Commit(t.Context(), provider.Write{Key: "k", IfVersion: 99})
+			var conflict *provider.ConflictError
 			assert.Assert(t, errors.As(err, &conflict))
 		}
 		assert.Equal(t, c.Stats().BreakerOpened, uint64(0))
@@ -232,7 +232,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
 			defer cancel()
 			err := c.CommitToken(ctx, fmt.Sprintf("token-%d", seed),
-				platform.Write{Key: "a", Value: first}, platform.Write{Key: "b", Value: []byte("plain")})
+				provider.Write{Key: "a", Value: first}, provider.Write{Key: "b", Value: []byte("plain")})
 			assert.NilError(t, err)
 			assert.Equal(t, string(f.rows["a"].Value), string(first))
 			assert.Equal(t, f.version, uint64(2), "the transaction took effect more than once")
@@ -246,15 +246,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeTable(1)
 		c := newClient(f, Limits{})
-		other := platform.Row{Key: "a", Value: []byte("other"), Version: 7}
+		other := provider.Row{Key: "a", Value: []byte("other"), Version: 7}
 		f.rows["a"] = other
-		write := platform.Write{Key: "a", Value: []byte("mine token-1")}
-		var conflict *platform.ConflictError
+		write := provider.Write{Key: "a", Value: []byte("mine token-1")}
+		var conflict *provider.ConflictError
 		assert.Assert(t, errors.As(c.CommitToken(t.Context(), "token-1", write), &conflict))
 
 		f.change(func() { f.loseBefore = 1 })
 		err := c.CommitToken(t.Context(), "token-1", write)
-		assert.Assert(t, errors.Is(err, ErrOverwritten) && errors.Is(err, platform.ErrUnknown), "%v", err)
+		assert.Assert(t, errors.Is(err, ErrOverwritten) && errors.Is(err, provider.ErrUnknown), "%v", err)
 	})
 }
 
@@ -265,8 +265,8 @@
 		f := newFakeTable(1)
 		f.refused = true
 		c := newClient(f, Limits{})
-		err := c.CommitToken(t.Context(), "t", platform.Write{Key: "a", Value: []byte("t")})
-		assert.Assert(t, errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown))
+		err := c.CommitToken(t.Context(), "t", provider.Write{Key: "a", Value: []byte("t")})
+		assert.Assert(t, errors.Is(err, provider.ErrUnavailable) && !errors.Is(err, provider.ErrUnknown))
 		assert.Equal(t, f.sent(), 1)
 	})
 }
@@ -274,9 +274,9 @@
 // Guards against writes that reading back cannot resolve.
 func TestCommitTokenNeedsItsToken(t *testing.T) {
 	c := New(Config{Table: newFakeTable(1)})
-	err := c.CommitToken(t.Context(), "t", platform.Write{Key: "a", Value: []byte("x")})
+	err := c.CommitToken(t.Context(), "t", provider.Write{Key: "a", Value: []byte("x")})
 	assert.ErrorContains(t, err, "no value holds the token")
-	err = c.CommitToken(t.Context(), "t", platform.Write{Key: "a", Value: []byte("t"), Unconditional: true})
+	err = c.CommitToken(t.Context(), "t", provider.Write{Key: "a", Value: []byte("t"), Unconditional: true})
 	assert.ErrorContains(t, err, "unconditional")
 }
 
--- a/store/token.go
+++ b/store/token.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/fault"
-	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 const (
@@ -18,7 +18,7 @@
 	maxRepeat = time.Second
 )
 
-// ErrOverwritten is returned by CommitToken, together with platform.ErrUnknown,
+// ErrOverwritten is returned by CommitToken, together with provider.ErrUnknown,
 // when the answer was lost and another writer has changed the rows since, so
 // that reading back does not tell whether the write took effect in between.
 var ErrOverwritten = errors.New("the rows were changed by another writer")
@@ -29,11 +29,11 @@
 // the versions of their conditions, it is repeated. All attempts have the same
 // conditions, so at most one takes effect.
 //
-// It returns nil when the write took effect, *platform.ConflictError or an error
-// that wraps platform.ErrUnavailable when it did not, and platform.ErrUnknown
+// It returns nil when the write took effect, *provider.ConflictError or an error
+// that wraps provider.ErrUnavailable when it did not, and provider.ErrUnknown
 // when ctx ended before that was known. A write that certainly had no effect is
 // not repeated.
-func (c *Client) CommitToken(ctx context.Context, token string, writes ...platform.Write) error {
+func (c *Client) CommitToken(ctx context.Context, token string, writes ...provider.Write) error {
 	if err := checkToken(token, writes); err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 
 // repeat commits again. While an earlier attempt may still take effect, a refusal
 // or a conflict of this one is not the outcome: only reading back tells.
-func (c *Client) repeat(ctx context.Context, writes []platform.Write, unknown error) error {
+func (c *Client) repeat(ctx context.Context, writes []provider.Write, unknown error) error {
 	if c.Commit(ctx, writes...) == nil {
 		return nil
 	}
@@ -71,7 +71,7 @@
 }
 
 // checkToken refuses writes that cannot be resolved by reading back.
-func checkToken(token string, writes []platform.Write) error {
+func checkToken(token string, writes []provider.Write) error {
 	found := false
 	for _, w := range writes {
 		if w.Unconditional {
@@ -96,14 +96,14 @@
 	overwritten
 )
 
-func (c *Client) readBack(ctx context.Context, token string, writes []platform.Write) (outcome, error) {
+func (c *Client) readBack(ctx context.Context, token string, writes []provider.Write) (outcome, error) {
 	keys := make([]string, len(writes))
 	for i, w := range writes {
 		keys[i] = w.Key
 	}
 	rows, err := c.Get(ctx, keys...)
 	if err != nil || len(rows) != len(writes) {
-		return unchanged, errors.Join(err, platform.ErrUnavailable)
+		return unchanged, errors.Join(err, provider.ErrUnavailable)
 	}
 	state := unchanged
 	for i, w := range writes {
