--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -212,6 +212,7 @@
 	self := g.settings.Name
 	g.suspects = suspects.New(suspects.Config{Self: self, Broadcast: g.broadcast, Table: g.table, Logger: g.logger})
 	g.limits = newLimits(self, g.mesh.Send, g.places.everyone)
+	g.limits.burstOf = g.burstOf
 	g.link = newLink()
 	g.owners = owners.New(owners.Config{
 		Self:   self,
@@ -256,6 +257,18 @@
 	})
 }
 
+// burstMargin leaves a part of what the limits tolerate for portions that are on
+// their way and for single requests larger than a bucket.
+const burstMargin = 0.8
+
+// burstOf returns the time for which the buckets of all daemons together may
+// collect an account's rate: its burst and what the limits tolerate.
+func (g *Gateway) burstOf(account *object.ClientAccount, perSecond float64) time.Duration {
+	s := &g.settings.Gateway
+	tolerated := (1+s.LimitOverage)*account.Burst + s.LimitOverage*perSecond*s.LimitWindow.Seconds() + s.LimitSlack
+	return time.Duration(burstMargin * tolerated / perSecond * float64(time.Second))
+}
+
 // gatewayObserver records the waits of attempts.
 type gatewayObserver struct {
 	metrics *metrics.Registry
--- a/object/types.go
+++ b/object/types.go
@@ -133,6 +133,8 @@
 	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty" yaml:"requestsPerSecond,omitempty"`
 	// TokensPerSecond limits prompt and output tokens over all daemons; 0 is no limit.
 	TokensPerSecond float64 `json:"tokensPerSecond,omitempty" yaml:"tokensPerSecond,omitempty"`
+	// Burst is what the account may take beyond its rate, in the unit of its limit.
+	Burst float64 `json:"burst,omitempty" yaml:"burst,omitempty"`
 	// TokensPerCall is what a call that states no token counts takes of TokensPerSecond.
 	TokensPerCall int `json:"tokensPerCall,omitempty" yaml:"tokensPerCall,omitempty"`
 	// TokenDigests are SHA-256 digests (hex) of the bearer tokens of the account.
--- a/settings/check.go
+++ b/settings/check.go
@@ -178,6 +178,10 @@
 	c.address("gateway.store", g.Store)
 	c.duration("gateway.grace", g.Grace)
 	c.duration("gateway.retryWindow", g.RetryWindow)
+	c.duration("gateway.limitWindow", g.LimitWindow)
+	if g.LimitOverage < 0 || g.LimitSlack < 0 {
+		c.report("gateway.limitOverage", "limitOverage %v and limitSlack %v must not be below zero", g.LimitOverage, g.LimitSlack)
+	}
 	c.positive("gateway.memoryMb", float64(g.MemoryMB))
 	if g.RetryRatio < 0 || g.RetrySlack < 0 {
 		c.report("gateway.retryRatio", "retryRatio %v and retrySlack %d must not be below zero", g.RetryRatio, g.RetrySlack)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,6 +56,11 @@
 	RetryRatio  float64       `yaml:"retryRatio"`
 	RetryWindow time.Duration `yaml:"retryWindow"`
 	RetrySlack  int           `yaml:"retrySlack"`
+	// In each LimitWindow, an account may take its rate and burst, LimitOverage of
+	// that more, and LimitSlack in the unit of its limit, over all daemons.
+	LimitWindow  time.Duration `yaml:"limitWindow"`
+	LimitOverage float64       `yaml:"limitOverage"`
+	LimitSlack   float64       `yaml:"limitSlack"`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int `yaml:"memoryMb"`
 }
