Place requests where the fewest streams become late

The log lines of the attempts showed two reasons: requests waited in the queue of their own data centre while another one was free, since groups were asked one after the other and each queued; and long prompts ran beside short streams on engines that are three times as slow. Slow engines were also ejected, although being slow is how they are.

Ruled out: the engines' own queue (kept at zero), store and limits.

Change: Reserve can ask for a grant now or a refusal, and the entry asks every group so before it waits in the one with the shortest queue. balancer.Timely counts the streams that a placement makes late. Targets with estimates of their own are not ejected for their speed. Account limits are leased from one bucket per limit (internal/leases), sized by what the limits tolerate in a window.

--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -17,6 +17,13 @@
 	Finish time.Duration
 	// CachedTokens is the expected length of the cached prefix.
 	CachedTokens int
+	// FirstToken is the predicted time until the first token.
+	FirstToken time.Duration
+	// Due is the time until the answer is late; 0 is no bound.
+	Due time.Duration
+	// Disturbs says that the request's prefill makes the streams that run on the
+	// target late.
+	Disturbs bool
 }
 
 // Picker chooses one of several targets.
@@ -33,7 +40,7 @@
 
 // Builders returns all builders, the one in use last.
 func Builders() []Builder {
-	return []Builder{Random{}, LeastOutstanding{}, PowerOfTwo{}, PredictedFinish{}}
+	return []Builder{Random{}, LeastOutstanding{}, PowerOfTwo{}, Timely{}, PredictedFinish{}}
 }
 
 // Random chooses uniformly.
--- a/cmd/marjoramd/main.go
+++ b/cmd/marjoramd/main.go
@@ -66,6 +66,20 @@
 	}
 }
 
+// reload reads the settings again at each SIGHUP until the context ends.
+func reload(ctx context.Context, d daemon.Runner) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			d.Reload()
+		}
+	}
+}
+
 func run(ctx context.Context, path string) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -73,5 +87,6 @@
 	if err != nil {
 		return err
 	}
+	go reload(ctx, d)
 	return d.Run(ctx)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,7 @@
 
 // Daemon holds the parts of one daemon.
 type Daemon struct {
+	path     string
 	settings *settings.Settings
 	logger   *eventlog.Logger
 
@@ -76,6 +78,9 @@
 // Runner serves until the context ends, then stops gracefully.
 type Runner interface {
 	Run(ctx context.Context) error
+	// Reload reads the settings file again and logs what it found. Static settings
+	// take effect at the next start.
+	Reload()
 }
 
 // Open reads the settings file and returns a daemon that logs to w: a Gateway when
@@ -90,9 +95,35 @@
 		return nil, err
 	}
 	if s.Gateway.Enabled() {
-		return NewGateway(s, logger)
+		g, err := NewGateway(s, logger)
+		if err != nil {
+			return nil, err
+		}
+		g.path = path
+		return g, nil
+	}
+	d, err := New(s, logger)
+	if err != nil {
+		return nil, err
+	}
+	d.path = path
+	return d, nil
+}
+
+// Reload implements Runner.
+func (d *Daemon) Reload() {
+	reload(d.path, d.settings, d.logger)
+}
+
+// reload reads the settings file again. The listeners, the place and the bounds of
+// a daemon stay as they are until it starts anew, so a change is only reported.
+func reload(path string, inForce *settings.Settings, logger *eventlog.Logger) {
+	s, err := settings.Load(path)
+	if err != nil {
+		logger.EmitError(eventlog.SettingsRefused, err, eventlog.Fields{"file": path})
+		return
 	}
-	return New(s, logger)
+	logger.Emit(eventlog.SettingsRead, eventlog.Fields{"file": path, "changed": !reflect.DeepEqual(s, inForce)})
 }
 
 // New opens the listeners and puts the parts together. Nothing runs before Run.
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/marjoramflow/marjoramflow/balancer"
 	"github.com/marjoramflow/marjoramflow/catalog"
 	"github.com/marjoramflow/marjoramflow/entry"
 	"github.com/marjoramflow/marjoramflow/estimate"
@@ -18,6 +19,7 @@
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/ingress"
 	"github.com/marjoramflow/marjoramflow/internal/grants"
+	"github.com/marjoramflow/marjoramflow/internal/leases"
 	"github.com/marjoramflow/marjoramflow/internal/members"
 	"github.com/marjoramflow/marjoramflow/internal/owners"
 	"github.com/marjoramflow/marjoramflow/internal/roster"
@@ -40,6 +42,7 @@
 // targets and everything that must last. It shares the scheduling with Daemon: the
 // mesh, the owners of target groups and the entry.
 type Gateway struct {
+	path        string
 	settings    *settings.Settings
 	logger      *eventlog.Logger
 	incarnation uint64
@@ -57,7 +60,7 @@
 	owners   *owners.Duty
 	grants   *grants.Client
 	suspects *suspects.Duty
-	limits   *limits
+	leases   *leases.Duty
 	link     link
 	metrics  *metrics.Registry
 	lengths  *lengths
@@ -211,8 +214,7 @@
 func (g *Gateway) buildScheduling() {
 	self := g.settings.Name
 	g.suspects = suspects.New(suspects.Config{Self: self, Broadcast: g.broadcast, Table: g.table, Logger: g.logger})
-	g.limits = newLimits(self, g.mesh.Send, g.places.everyone)
-	g.limits.burstOf = g.burstOf
+	g.leases = leases.New(leases.Config{Self: self, Send: g.mesh.Send, Everyone: g.places.everyone, Bucket: g.bucketOf})
 	g.link = newLink()
 	g.owners = owners.New(owners.Config{
 		Self:   self,
@@ -220,6 +222,8 @@
 		OnLost: g.onLost,
 		Trial:  g.trial,
 		Logger: g.logger,
+		// The queue is held here and not in the targets, which know no order.
+		Group: owner.Options{Picker: balancer.Timely{}.Build(0), Backlog: -1},
 	})
 	g.grants = grants.New(grants.Config{
 		Self:        self,
@@ -243,7 +247,7 @@
 	g.ingress = ingress.New(ingress.Config{
 		Index:        g.places.Index,
 		Runner:       g.entry,
-		Limiter:      g.limits,
+		Limiter:      g.leases,
 		Recorder:     recorder{registry: g.metrics},
 		Logger:       g.logger,
 		OpenRequests: g.settings.Limits.OpenRequests,
@@ -257,16 +261,28 @@
 	})
 }
 
-// burstMargin leaves a part of what the limits tolerate for portions that are on
-// their way and for single requests larger than a bucket.
-const burstMargin = 0.8
+const (
+	// limitMargin leaves a part of what the limits tolerate for units that are
+	// leased and not yet used, and for the first units of a bucket that moves.
+	limitMargin = 0.92
+	// bucketTime is the time for which a bucket collects its rate: long enough for
+	// the longest requests of a small account, short against the window of a limit.
+	bucketTime = 1500 * time.Millisecond
+)
 
-// burstOf returns the time for which the buckets of all daemons together may
-// collect an account's rate: its burst and what the limits tolerate.
-func (g *Gateway) burstOf(account *object.ClientAccount, perSecond float64) time.Duration {
+// bucketOf returns the bucket that lets an account take what its limit tolerates in
+// each window, and no more.
+func (g *Gateway) bucketOf(account *object.ClientAccount, perSecond float64) (rate, burst float64) {
 	s := &g.settings.Gateway
-	tolerated := (1+s.LimitOverage)*account.Burst + s.LimitOverage*perSecond*s.LimitWindow.Seconds() + s.LimitSlack
-	return time.Duration(burstMargin * tolerated / perSecond * float64(time.Second))
+	window := s.LimitWindow.Seconds()
+	tolerated := (1+s.LimitOverage)*(perSecond*window+account.Burst) + s.LimitSlack
+	rate = limitMargin * tolerated / (window + bucketTime.Seconds())
+	return rate, rate * bucketTime.Seconds()
+}
+
+// Reload implements Runner.
+func (g *Gateway) Reload() {
+	reload(g.path, g.settings, g.logger)
 }
 
 // gatewayObserver records the waits of attempts.
@@ -326,7 +342,7 @@
 		g.owners.Run,
 		g.grants.Run,
 		g.suspects.Run,
-		g.limits.run,
+		g.leases.Run,
 		g.pool.Run,
 		func(context.Context) error { return g.front.Serve(g.callers) },
 		func(ctx context.Context) error { return serve(ctx, g.probes, g.probeHandler()) },
@@ -369,6 +385,10 @@
 const (
 	// stopMargin is left of the grace for the end of the process itself.
 	stopMargin = 700 * time.Millisecond
+	// acceptWhileStopping is the time after the request to stop in which requests of
+	// kept connections are still run. The balancer notices within two probes, two
+	// seconds, and what starts later might not end within the grace.
+	acceptWhileStopping = 2500 * time.Millisecond
 	// lingerShare is the part of the grace in which kept connections may still
 	// bring requests; each gets its answer and then the end of the connection.
 	lingerShare = 0.6
@@ -382,6 +402,8 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace-stopMargin)
 	defer cancel()
 	g.front.Leave()
+	refusing := time.AfterFunc(acceptWhileStopping, g.ingress.Leave)
+	defer refusing.Stop()
 	if err := g.roster.Leave(ctx); err != nil {
 		g.logger.EmitError(eventlog.PlatformUnavailable, err, nil)
 	}
@@ -395,7 +417,7 @@
 	generation := g.generation.Add(1)
 	g.limitsInForce.Store(&callerLimits)
 	g.places.setIndex(object.NewIndex(generation, set))
-	g.limits.setConfig(set)
+	g.leases.SetConfig(set)
 	g.placesChanged()
 	g.logger.Emit(eventlog.ConfigInForce, eventlog.Fields{"generation": generation, "targets": len(set.Targets), "ingresses": len(set.Ingresses)})
 }
@@ -428,11 +450,11 @@
 
 // onMessage hands a frame to the duty that it belongs to.
 func (g *Gateway) onMessage(from string, m *peerpb.Envelope) {
-	g.limits.onMessage(from, m)
 	switch {
 	case g.members.OnMessage(from, m):
 	case g.owners.OnMessage(from, m):
 	case g.grants.OnMessage(from, m):
+	case g.leases.OnMessage(from, m):
 	case g.suspects.OnMessage(m):
 	}
 }
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -29,9 +29,6 @@
 	self     string
 	send     func(to string, m *peerpb.Envelope) error
 	everyone func() []string
-	// burstOf returns the time for which the bucket of an account collects a rate;
-	// nil takes the default of the package.
-	burstOf func(account *object.ClientAccount, perSecond float64) time.Duration
 
 	mu       sync.Mutex
 	accounts map[string]*ratelimit.Account
@@ -62,8 +59,8 @@
 	l.rates = make(map[string]float64)
 	for i := range set.ClientAccounts {
 		a := &set.ClientAccounts[i]
-		l.setRate(now, requestLimit, a, a.RequestsPerSecond)
-		l.setRate(now, tokenLimit, a, a.TokensPerSecond)
+		l.setRate(now, requestLimit+a.Name, a.RequestsPerSecond)
+		l.setRate(now, tokenLimit+a.Name, a.TokensPerSecond)
 	}
 	for key := range l.accounts {
 		if l.rates[key] == 0 {
@@ -74,11 +71,10 @@
 }
 
 // setRate installs one limit; 0 is none. The caller holds the lock.
-func (l *limits) setRate(now time.Time, kind string, account *object.ClientAccount, rate float64) {
+func (l *limits) setRate(now time.Time, key string, rate float64) {
 	if rate <= 0 {
 		return
 	}
-	key := kind + account.Name
 	l.rates[key] = rate
 	daemons := max(1, len(l.live))
 	if a := l.accounts[key]; a != nil {
@@ -86,9 +82,6 @@
 	} else {
 		l.accounts[key] = ratelimit.NewAccount(now, rate, daemons)
 	}
-	if l.burstOf != nil {
-		l.accounts[key].SetBurst(now, l.burstOf(account, rate))
-	}
 	if d := l.dividers[key]; d != nil {
 		d.SetLimit(rate)
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -62,17 +62,20 @@
 	// held is the last whole failure of a target.
 	held *heldAnswer
 	gone error
+	// lastPassed is when the last event went to the caller.
+	lastPassed time.Time
+	trace      Trace
 }
 
 // Forward runs an opaque request to its end. It returns nil when a whole answer of
 // a target went to the sink, and a *Refusal otherwise; the sink may have been
 // started before.
-func (e *Entry) Forward(ctx context.Context, r *ForwardRequest, sink ForwardSink) error {
+func (e *Entry) Forward(ctx context.Context, r *ForwardRequest, sink ForwardSink) (Trace, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	suspect, quarantined := e.checkQuarantine(ctx, r.Fingerprint)
 	if quarantined {
-		return quarantinedRefusal()
+		return Trace{}, quarantinedRefusal()
 	}
 	e.Retries.Request(r.Service.Name)
 	f := &forward{
@@ -84,7 +87,8 @@
 		lastEvent: r.ResumeAfter,
 		version:   e.Versions.Pick(r.Service),
 	}
-	return f.runToEnd(ctx)
+	err := f.runToEnd(ctx)
+	return f.trace, err
 }
 
 // runToEnd makes attempts until the answer is whole or the request ends.
@@ -113,6 +117,10 @@
 	if err != nil {
 		return err
 	}
+	f.trace.Targets = append(f.trace.Targets, grant.Target.Name)
+	if f.tries == 1 {
+		f.trace.QueueWait = grant.At.Sub(f.request.Arrived)
+	}
 	started := time.Now()
 	report := Report{PromptTokens: f.request.PromptTokens}
 	before := f.events
@@ -141,6 +149,10 @@
 		Deadline:     r.Deadline,
 		Final:        r.Deadline,
 		FirstTokenBy: f.firstEventBy(),
+		ObjectiveBy:  r.Arrived.Add(r.Ingress.Objective),
+		MaxGap:       r.Ingress.MaxGap,
+		EventTokens:  r.Service.EventTokens,
+		Spread:       true,
 		Accepted:     f.started,
 		Suspect:      f.suspect,
 		Fingerprint:  r.Fingerprint,
@@ -340,13 +352,23 @@
 	if err := f.sink.Write(event.Raw); err != nil {
 		return f.left(err)
 	}
-	f.events++
+	f.notePassed()
 	if event.HasID {
 		f.lastEvent = event.ID
 	}
 	return nil
 }
 
+// notePassed records that an event went to the caller.
+func (f *forward) notePassed() {
+	now := time.Now()
+	if f.events > 0 {
+		f.trace.MaxGap = max(f.trace.MaxGap, now.Sub(f.lastPassed))
+	}
+	f.lastPassed = now
+	f.events++
+}
+
 // nextEventBy bounds the pause after an event. A stream that cannot go on
 // elsewhere is followed to its deadline: silence is no reason to end it sooner.
 func (f *forward) nextEventBy() time.Time {
@@ -360,6 +382,7 @@
 // again decides whether the request is tried once more; the error is the answer
 // otherwise.
 func (f *forward) again(ctx context.Context, err error) (bool, error) {
+	f.trace.Failures = append(f.trace.Failures, err.Error())
 	a := f.describe(err)
 	if a.MayHaveRun() {
 		f.mayHaveRun = true
--- a/entry/forward_ports.go
+++ b/entry/forward_ports.go
@@ -84,6 +84,18 @@
 	Close()
 }
 
+// Trace tells how a request went, for its log line.
+type Trace struct {
+	// Targets are those that it was sent to, in order.
+	Targets []string
+	// QueueWait is the time until the first grant.
+	QueueWait time.Duration
+	// MaxGap is the longest pause between events.
+	MaxGap time.Duration
+	// Failures are the reasons of failed attempts, in order.
+	Failures []string
+}
+
 // Forwarder sends an attempt to a target and reads the head of the answer. Its
 // errors are *attempt.Error. When the context ends, the attempt is broken off.
 type Forwarder interface {
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -28,6 +28,15 @@
 	// FirstTokenBy is the time by which the first token has to come; zero is no
 	// bound.
 	FirstTokenBy time.Time
+	// ObjectiveBy is the time after which the answer, or its first event, is late;
+	// zero is no bound. MaxGap is the longest pause between events of an answer in
+	// time, EventTokens the tokens of one event; 0 is not stated.
+	ObjectiveBy time.Time
+	MaxGap      time.Duration
+	EventTokens int
+	// Spread asks every group that may serve the request in time before it waits
+	// in the queue of one.
+	Spread bool
 	// Accepted is set once the request has run.
 	Accepted    bool
 	Preemptible bool
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -46,6 +46,8 @@
 	}
 	if r != nil {
 		fields["ingress"] = r.Ingress.Name
+		fields["account"] = accountOf(r)
+		fields["tokens"] = c.Size.Prompt + c.Size.Output
 		s.Recorder.Request(measure(r, string(refusal.Code), &watchedSink{arrived: c.Arrived}))
 	}
 	s.Logger.Emit(eventlog.RequestRefused, fields)
@@ -56,7 +58,7 @@
 const outcomeOK = "ok"
 
 // record logs and counts a request that the entry ended.
-func (s *Server) record(r *entry.ForwardRequest, w *watchedSink, err error) {
+func (s *Server) record(r *entry.ForwardRequest, w *watchedSink, trace *entry.Trace, err error) {
 	outcome := outcomeOK
 	fields := eventlog.Fields{
 		"request": r.ID,
@@ -64,13 +66,18 @@
 		"service": r.Service.Name,
 		"tier":    r.Caller.Tier.Name,
 		"prompt":  r.PromptTokens,
+		"output":  r.OutputTokens,
 		"status":  w.status,
 		"firstMs": w.first.Milliseconds(),
 		"totalMs": time.Since(r.Arrived).Milliseconds(),
 		"writes":  w.events,
+		"targets": trace.Targets,
+		"waitMs":  trace.QueueWait.Milliseconds(),
+		"gapMs":   trace.MaxGap.Milliseconds(),
 	}
-	if r.Caller.Account != nil {
-		fields["account"] = r.Caller.Account.Name
+	fields["account"] = accountOf(r)
+	if len(trace.Failures) > 0 {
+		fields["failures"] = trace.Failures
 	}
 	if err != nil {
 		refusal := entry.AsRefusal(err)
@@ -87,7 +94,8 @@
 }
 
 func measure(r *entry.ForwardRequest, outcome string, w *watchedSink) frontend.Measure {
-	m := frontend.Measure{
+	return frontend.Measure{
+		Account:    accountOf(r),
 		Tier:       r.Caller.Tier.Name,
 		Service:    r.Service.Name,
 		Outcome:    outcome,
@@ -95,8 +103,12 @@
 		Total:      time.Since(r.Arrived),
 		Tokens:     w.events,
 	}
-	if r.Caller.Account != nil {
-		m.Account = r.Caller.Account.Name
+}
+
+// accountOf returns the name of a request's account, "" without one.
+func accountOf(r *entry.ForwardRequest) string {
+	if r.Caller.Account == nil {
+		return ""
 	}
-	return m
+	return r.Caller.Account.Name
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -19,7 +19,7 @@
 
 // Runner runs requests; entry.Entry implements it.
 type Runner interface {
-	Forward(ctx context.Context, r *entry.ForwardRequest, sink entry.ForwardSink) error
+	Forward(ctx context.Context, r *entry.ForwardRequest, sink entry.ForwardSink) (entry.Trace, error)
 }
 
 // Limiter bounds client accounts.
@@ -70,7 +70,8 @@
 // Server admits requests.
 type Server struct {
 	Config
-	open atomic.Int64
+	open    atomic.Int64
+	leaving atomic.Bool
 }
 
 // New returns a server.
@@ -78,6 +79,11 @@
 	return &Server{Config: config}
 }
 
+// Leave refuses every request from now on: the daemon ends soon, and others serve.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+}
+
 // Open returns the number of requests in flight.
 func (s *Server) Open() int64 {
 	return s.open.Load()
@@ -87,6 +93,9 @@
 	// notReadyRetry is the hint before the first configuration, which takes about
 	// a second to read.
 	notReadyRetry = time.Second
+	// leavingRetry is the hint while the daemon stops; the balancer sends the next
+	// attempt elsewhere.
+	leavingRetry = 50 * time.Millisecond
 	// overloadRetry is the hint when too many requests are open.
 	overloadRetry = time.Second
 )
@@ -98,13 +107,16 @@
 	if s.open.Add(1) > int64(s.OpenRequests) {
 		return s.refused(c, nil, refuseLater(http.StatusServiceUnavailable, entry.CodeOverloaded, "too many open requests on this daemon", overloadRetry))
 	}
+	if s.leaving.Load() {
+		return s.refused(c, nil, refuseLater(http.StatusServiceUnavailable, entry.CodeShuttingDown, "the daemon is stopping", leavingRetry))
+	}
 	request, refusal := s.admit(c)
 	if refusal != nil {
 		return s.refused(c, request, refusal)
 	}
 	watched := &watchedSink{ForwardSink: sink, arrived: c.Arrived}
-	err := s.Runner.Forward(ctx, request, watched)
-	s.record(request, watched, err)
+	trace, err := s.Runner.Forward(ctx, request, watched)
+	s.record(request, watched, &trace, err)
 	return err
 }
 
--- a/internal/grants/encode.go
+++ b/internal/grants/encode.go
@@ -21,7 +21,11 @@
 		OutputTokens: uint32(need.OutputTokens),
 		RemainingMs:  uint32(max(0, time.Until(need.Deadline).Milliseconds())),
 		FinalMs:      uint32(max(0, time.Until(need.Final).Milliseconds())),
-		FirstTokenMs: firstTokenLeft(need),
+		FirstTokenMs: timeLeft(need.FirstTokenBy),
+		ObjectiveMs:  timeLeft(need.ObjectiveBy),
+		MaxGapMs:     uint32(need.MaxGap.Milliseconds()),
+		EventTokens:  uint32(need.EventTokens),
+		Immediate:    pick.immediate,
 		Accepted:     need.Accepted,
 		Preemptible:  need.Preemptible,
 		Fingerprint:  need.Fingerprint,
@@ -33,11 +37,10 @@
 	}
 }
 
-// firstTokenLeft returns the time left until the first token is due, at least
-// 1 ms, and 0 without a bound.
-func firstTokenLeft(need *entry.Need) uint32 {
-	if need.FirstTokenBy.IsZero() {
+// timeLeft returns the time left until a bound, at least 1 ms, and 0 without one.
+func timeLeft(by time.Time) uint32 {
+	if by.IsZero() {
 		return 0
 	}
-	return uint32(max(1, time.Until(need.FirstTokenBy).Milliseconds()))
+	return uint32(max(1, time.Until(by).Milliseconds()))
 }
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/entry"
@@ -17,6 +18,8 @@
 	key     topology.Key
 	owner   string
 	preempt bool
+	// immediate asks for a grant now or a refusal.
+	immediate bool
 }
 
 // answer is the result of asking one group. Exactly one field is set.
@@ -27,6 +30,9 @@
 	moved bool
 	// silent: the owner did not answer in time.
 	silent bool
+	// leaving names a granted target that this daemon knows to be leaving or gone;
+	// the owner has not heard of it yet.
+	leaving string
 }
 
 // maxMoves bounds how often a request follows a group to its next owner.
@@ -37,6 +43,15 @@
 // region, then other regions within the byte budget. When no owner answered, it
 // schedules the request in the daemon's own share.
 func (c *Client) Reserve(ctx context.Context, need entry.Need) (*entry.Grant, error) {
+	if need.Spread {
+		if grant := c.reserveNow(ctx, &need); grant != nil {
+			return grant, nil
+		}
+		if ctx.Err() != nil {
+			return nil, expired()
+		}
+		return c.reserveWaiting(ctx, &need)
+	}
 	refusal := noTarget()
 	anyAnswer := false
 	for stage := range stageCount {
@@ -236,7 +251,14 @@
 // ask reserves at one group and follows it to its next owner.
 func (c *Client) ask(ctx context.Context, need *entry.Need, pick choice) answer {
 	for range maxMoves {
+		if len(need.Exclude) > 0 && !c.servesElsewhere(need, pick) {
+			return answer{refusal: noTarget()}
+		}
 		result := c.askOwner(ctx, need, pick)
+		if result.leaving != "" && ctx.Err() == nil {
+			need.Exclude = append(slices.Clone(need.Exclude), result.leaving)
+			continue
+		}
 		if !result.moved || ctx.Err() != nil {
 			return result
 		}
@@ -249,6 +271,16 @@
 	return answer{silent: true}
 }
 
+// servesElsewhere says whether the group has a target that is not excluded. The
+// fallback group has all targets of the data centre.
+func (c *Client) servesElsewhere(need *entry.Need, pick choice) bool {
+	if pick.key.Number >= FallbackGroup {
+		return c.localTargets(need)
+	}
+	group := groupIn(c.allPlaces(), pick.key)
+	return group == nil || group.Serves(need.Version, need.Exclude)
+}
+
 func (c *Client) allPlaces() []*topology.Topology {
 	places := []*topology.Topology{c.Places.Local()}
 	places = append(places, c.Places.Nearby()...)
@@ -340,9 +372,9 @@
 // accept turns a granted reply into a grant.
 func (c *Client) accept(w *wait, reply *peerpb.ReserveReply) answer {
 	target := c.Places.Target(reply.Target)
-	if target == nil {
+	if target == nil || target.Leaving {
 		c.cancel(w)
-		return answer{refusal: noTarget()}
+		return answer{leaving: reply.Target}
 	}
 	h := &held{need: w.need, reserve: w.reserve, key: w.key, owner: w.owner, target: reply.Target, preempted: make(chan struct{})}
 	c.mu.Lock()
--- /dev/null
+++ b/internal/grants/spread.go
@@ -0,0 +1,91 @@
+package grants
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/topology"
+)
+
+// reserveNow asks one group after the other for a target that serves the request
+// in time, the own data centre first. It returns nil when there is none.
+func (c *Client) reserveNow(ctx context.Context, need *entry.Need) *entry.Grant {
+	for _, stage := range []int{stageLocal, stageNearby, stageFar} {
+		for _, pick := range c.choices(stage, need) {
+			pick.immediate = true
+			result := c.ask(ctx, need, pick)
+			if result.grant != nil || ctx.Err() != nil {
+				return result.grant
+			}
+		}
+	}
+	return nil
+}
+
+// Waits that a group elsewhere must save to be worth its distance.
+const (
+	nearbyCost = 10 * time.Millisecond
+	farCost    = 100 * time.Millisecond
+)
+
+// reserveWaiting queues the request in the group with the shortest expected wait,
+// then in the next one. When no owner answers, it uses the daemon's own share.
+func (c *Client) reserveWaiting(ctx context.Context, need *entry.Need) (*entry.Grant, error) {
+	refusal := noTarget()
+	anyAnswer := false
+	for _, pick := range c.byWait(need) {
+		result := c.ask(ctx, need, pick)
+		if result.grant != nil {
+			return result.grant, nil
+		}
+		if ctx.Err() != nil {
+			return nil, expired()
+		}
+		if result.refusal != nil {
+			anyAnswer = true
+			refusal = result.refusal
+		}
+	}
+	if anyAnswer || !c.localTargets(need) {
+		return nil, refusal
+	}
+	return c.reserveOwn(ctx, need)
+}
+
+// reserveOwn schedules a request in the daemon's own share of the slots.
+func (c *Client) reserveOwn(ctx context.Context, need *entry.Need) (*entry.Grant, error) {
+	own := choice{key: topology.Key{Service: need.Service, Number: FallbackGroup}, owner: c.Self, preempt: true}
+	result := c.ask(ctx, need, own)
+	if result.grant == nil {
+		return nil, orExpired(result.refusal)
+	}
+	return result.grant, nil
+}
+
+// byWait returns all usable groups in order of their expected wait.
+func (c *Client) byWait(need *entry.Need) []choice {
+	type option struct {
+		choice
+		wait time.Duration
+	}
+	var options []option
+	add := func(places []*topology.Topology, cost time.Duration) {
+		for _, place := range places {
+			for _, g := range usable(place.Groups(need.Service), need) {
+				options = append(options, option{choice{key: g.Key, owner: g.Owner, preempt: true}, c.score(g) + cost})
+			}
+		}
+	}
+	add([]*topology.Topology{c.Places.Local()}, 0)
+	add(c.Places.Nearby(), nearbyCost)
+	add(c.Places.Far(), farCost)
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.wait, b.wait) })
+	out := make([]choice, len(options))
+	for i, o := range options {
+		out[i] = o.choice
+	}
+	return out
+}
--- a/internal/owners/duty.go
+++ b/internal/owners/duty.go
@@ -38,6 +38,7 @@
 	logger *eventlog.Logger
 	onLost func(target string, running []owner.Running)
 	trial  Trial
+	group  owner.Options
 	events *ring.Ring[event]
 	model  *estimate.Model
 	groups map[key]*state
@@ -89,6 +90,8 @@
 	OnLost func(target string, running []owner.Running)
 	Trial  Trial
 	Logger *eventlog.Logger
+	// Group configures the groups; the model is the duty's own.
+	Group owner.Options
 }
 
 // New returns a duty without groups.
@@ -98,6 +101,7 @@
 		sender:        config.Sender,
 		onLost:        config.OnLost,
 		trial:         config.Trial,
+		group:         config.Group,
 		logger:        config.Logger,
 		detector:      outlier.New(),
 		events:        ring.New[event](ringSize),
--- a/internal/owners/groups.go
+++ b/internal/owners/groups.go
@@ -38,8 +38,10 @@
 }
 
 func (d *Duty) newState(k key, opensAt time.Time) *state {
+	options := d.group
+	options.Model = d.model
 	return &state{
-		group:   owner.NewGroup(k.service, k.number, owner.Options{Model: d.model}),
+		group:   owner.NewGroup(k.service, k.number, options),
 		opensAt: opensAt,
 	}
 }
--- a/internal/owners/messages.go
+++ b/internal/owners/messages.go
@@ -104,6 +104,12 @@
 		Fingerprint:  m.Fingerprint,
 		Prefix:       m.Prefix,
 	}
+	r.Immediate = m.Immediate
+	r.MaxGap = time.Duration(m.MaxGapMs) * time.Millisecond
+	r.EventTokens = int(m.EventTokens)
+	if m.ObjectiveMs > 0 {
+		r.ObjectiveBy = now.Add(time.Duration(m.ObjectiveMs) * time.Millisecond)
+	}
 	if m.FirstTokenMs > 0 {
 		r.FirstTokenBy = now.Add(time.Duration(m.FirstTokenMs) * time.Millisecond)
 	}
--- a/internal/owners/outliers.go
+++ b/internal/owners/outliers.go
@@ -79,6 +79,7 @@
 				Name:     t.Name,
 				Pool:     k.service + "/" + strconv.Itoa(k.number),
 				Hardware: t.Hardware,
+				OwnSpeed: t.Hardware == t.Name,
 			})
 		}
 	}
--- a/outlier/types.go
+++ b/outlier/types.go
@@ -43,6 +43,9 @@
 	// data centre.
 	Pool     string
 	Hardware string
+	// OwnSpeed targets have estimates of their own: being slower than others is how
+	// they are, and no fault.
+	OwnSpeed bool
 }
 
 // Sample is what one request or probe showed.
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -104,6 +104,9 @@
 			Reported:     t.reported,
 			Finish:       p.finish,
 			CachedTokens: p.cached,
+			FirstToken:   p.firstToken,
+			Due:          due(now, &j.request),
+			Disturbs:     g.disturbs(&j.request, t, p.cached),
 		})
 	}
 	if len(c.targets) == 0 {
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -28,6 +28,10 @@
 	}
 	g.refreshSpeeds(now)
 	j := g.newJob(now, request)
+	if request.Immediate && !g.hasTimely(now, j) {
+		g.decide(Refuse, j, Decision{Reason: ReasonBusy})
+		return g.finish(now)
+	}
 	if reason, retryAfter := g.admit(now, j); reason != ReasonNone {
 		g.decide(Refuse, j, Decision{Reason: reason, RetryAfter: retryAfter})
 		return g.finish(now)
--- /dev/null
+++ b/owner/timely.go
@@ -0,0 +1,55 @@
+package owner
+
+import "time"
+
+// prefillChunk is the number of prompt tokens that engines read between two steps
+// of the running streams.
+const prefillChunk = 1024
+
+// due is the time left until a request is late; 0 without an objective.
+func due(now time.Time, r *Request) time.Duration {
+	if r.ObjectiveBy.IsZero() {
+		return 0
+	}
+	return max(r.ObjectiveBy.Sub(now), 1)
+}
+
+// disturbs reports whether the prefill of a request would stretch the pauses of the
+// streams that run on a target beyond their bound. Engines read a prompt in chunks
+// between the steps of the running streams, so an event that takes several steps
+// waits for as many chunks.
+func (g *Group) disturbs(r *Request, t *target, cached int) bool {
+	if r.MaxGap == 0 || r.EventTokens == 0 || r.Plain || len(t.running) == 0 {
+		return false
+	}
+	chunks := (max(r.PromptTokens-cached, 0) + prefillChunk - 1) / prefillChunk
+	step := g.options.Model.TokenTime(r.Version, t.info.Hardware, len(t.running)+1)
+	chunk := g.options.Model.PrefillTime(r.Version, t.info.Hardware, min(prefillChunk, r.PromptTokens))
+	pause := time.Duration(r.EventTokens)*step + time.Duration(min(chunks, r.EventTokens))*chunk
+	return pause > r.MaxGap
+}
+
+// hasTimely reports whether a target with a free slot serves a request in time and
+// without disturbing others.
+func (g *Group) hasTimely(now time.Time, j *job) bool {
+	if g.queue.CountUpTo(j.request.Tier) > 0 {
+		return false
+	}
+	for _, t := range g.targets {
+		if t.bit&j.item.Class.Targets == 0 || !t.hasPlace(0) || !t.fits(t.need(&j.request)) {
+			continue
+		}
+		if j.request.Suspect && t.suspects > 0 {
+			continue
+		}
+		if j.request.Plain {
+			return true
+		}
+		p := g.predictOn(now, &j.request, t)
+		late := !j.request.ObjectiveBy.IsZero() && now.Add(p.firstToken).After(j.request.ObjectiveBy)
+		if !late && !g.disturbs(&j.request, t, p.cached) {
+			return true
+		}
+	}
+	return false
+}
--- a/owner/types.go
+++ b/owner/types.go
@@ -47,6 +47,14 @@
 	// FirstTokenBy is the time by which the first token has to come; zero is no
 	// bound. It does not apply to an accepted request.
 	FirstTokenBy time.Time
+	// ObjectiveBy is the time after which the answer, or its first event, is late;
+	// zero is no bound. MaxGap and EventTokens describe a stream: the longest pause
+	// between events in time, and the tokens of one event; 0 is not stated.
+	ObjectiveBy time.Time
+	MaxGap      time.Duration
+	EventTokens int
+	// Immediate requests are refused when no target can serve them in time now.
+	Immediate bool
 	// Accepted marks a request that has run before. It is not shed: its caller may
 	// have received a part of the answer.
 	Accepted bool
@@ -117,10 +125,11 @@
 	ReasonNoTarget
 	ReasonTooLarge
 	ReasonPreemptionNeeded
+	ReasonBusy
 )
 
 var reasonNames = [...]string{
-	"none", "capacity", "expired", "deadline", "no-target", "too-large", "preemption-needed",
+	"none", "capacity", "expired", "deadline", "no-target", "too-large", "preemption-needed", "busy",
 }
 
 // String returns the name used in messages and logs.
--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -15,9 +15,8 @@
 	// the floor applies. A divider that misses a report reserves the floor in its
 	// next round, and after three more rounds the others have given it back.
 	RaiseAfter = 6 * time.Second
-	// defaultBurst is the time for which a bucket collects its rate, unless SetBurst
-	// sets another one.
-	defaultBurst = time.Second
+	// burstTime is the time for which a bucket collects its rate.
+	burstTime = time.Second
 	// demandWeight is the weight of the newest second in the reported demand.
 	demandWeight = 0.7
 )
@@ -26,7 +25,6 @@
 type Account struct {
 	mu       sync.Mutex
 	limiter  *rate.Limiter
-	burst    time.Duration
 	floor    float64
 	portion  float64
 	until    time.Time // zero without a portion
@@ -39,7 +37,7 @@
 
 // NewAccount returns an account that uses its floor.
 func NewAccount(now time.Time, limit float64, liveDaemons int) *Account {
-	a := &Account{limiter: rate.NewLimiter(0, 1), burst: defaultBurst, reported: now}
+	a := &Account{limiter: rate.NewLimiter(0, 1), reported: now}
 	a.SetFloor(now, limit, liveDaemons)
 	return a
 }
@@ -52,14 +50,6 @@
 	a.apply(now)
 }
 
-// SetBurst sets the time for which the bucket collects its rate.
-func (a *Account) SetBurst(now time.Time, burst time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.burst = burst
-	a.apply(now)
-}
-
 // SetPortion sets the rate that the divider gave in answer to a report that was
 // sent at reportedAt.
 func (a *Account) SetPortion(now time.Time, perSecond float64, reportedAt time.Time) {
@@ -159,5 +149,5 @@
 		perSecond, a.nextEdge = a.portion, raise
 	}
 	a.limiter.SetLimitAt(now, rate.Limit(perSecond))
-	a.limiter.SetBurstAt(now, max(1, int(perSecond*a.burst.Seconds())))
+	a.limiter.SetBurstAt(now, max(1, int(perSecond*burstTime.Seconds())))
 }
