Refuse what would be late while others wait, and look elsewhere in turns

Ruled out: the retry budget (137 second attempts), dials to sound targets.

Change: a waiting request that cannot be in time any more is refused with the time to come back; returned ones wait behind those still in time; waiting requests look for a free target in other groups every 120 ms and keep their place; the account's tier comes first and the ingress's tier second (object.Precedence); internal/reach dials doubtful targets and takes silent ones out.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// lengthFactor is the number of seconds by which one second of predicted work
+// LengthFactor is the usual number of seconds by which one second of predicted work
 // moves a request back among the requests of its account. A larger factor is
 // closer to shortest-first, a smaller one closer to first come, first served.
-const lengthFactor = 4
+const LengthFactor = 4
 
 // Class says which targets can run a request, one bit per target. Exclusive
 // requests run only where no other exclusive request runs.
@@ -48,6 +48,8 @@
 	Arrived time.Time
 	// Timer is the time at which Due returns the item.
 	Timer time.Time
+	// Setback moves the item back among those of its account.
+	Setback time.Duration
 	// Paid is set for work that was charged to its account before and came back.
 	Paid bool
 
@@ -65,7 +67,7 @@
 
 // key orders the requests of one account.
 func (i *Item[V]) key() int64 {
-	return i.Arrived.UnixNano() + lengthFactor*int64(i.Work)
+	return i.Arrived.UnixNano() + int64(i.Setback)
 }
 
 // Queue holds waiting requests. The zero value is not usable; call New.
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -16,7 +16,8 @@
 func item(name, account string, tier int, work time.Duration) *Item[string] {
 	return &Item[string]{
 		Value: name, Account: account, Tier: tier, Work: work, Arrived: start, Timer: start.Add(time.Minute),
-		Class: Class{Targets: allTargets, Possible: allTargets},
+		Setback: LengthFactor * work,
+		Class:   Class{Targets: allTargets, Possible: allTargets},
 	}
 }
 
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -21,6 +21,8 @@
 	FirstToken time.Duration
 	// Due is the time until the answer is late; 0 is no bound.
 	Due time.Duration
+	// Left is the time until the whole answer is too late; 0 is no bound.
+	Left time.Duration
 	// Disturbs says that the request's prefill makes the streams that run on the
 	// target late.
 	Disturbs bool
--- a/balancer/timely.go
+++ b/balancer/timely.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Timely chooses the target where the fewest streams become late: the request's own
-// by its first token, and those that run beside its prefill. Among equal ones it
+// by its first token or its end, and those that run beside its prefill. Among equal ones it
 // takes the earliest first token.
 //
 // It answers targets of unlike speed with prompts that differ a hundredfold: the
@@ -32,6 +32,9 @@
 	if t.Due > 0 && time.Duration(firstTokenMargin*float64(t.FirstToken)) > t.Due {
 		n++
 	}
+	if t.Left > 0 && t.Finish > t.Left {
+		n++
+	}
 	return n
 }
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/marjoramflow/marjoramflow/internal/leases"
 	"github.com/marjoramflow/marjoramflow/internal/members"
 	"github.com/marjoramflow/marjoramflow/internal/owners"
+	"github.com/marjoramflow/marjoramflow/internal/reach"
 	"github.com/marjoramflow/marjoramflow/internal/roster"
 	"github.com/marjoramflow/marjoramflow/internal/suspects"
 	"github.com/marjoramflow/marjoramflow/membership"
@@ -61,6 +62,7 @@
 	grants   *grants.Client
 	suspects *suspects.Duty
 	leases   *leases.Duty
+	reach    *reach.Duty
 	link     link
 	metrics  *metrics.Registry
 	lengths  *lengths
@@ -216,14 +218,21 @@
 	g.suspects = suspects.New(suspects.Config{Self: self, Broadcast: g.broadcast, Table: g.table, Logger: g.logger})
 	g.leases = leases.New(leases.Config{Self: self, Send: g.mesh.Send, Everyone: g.places.everyone, Bucket: g.bucketOf})
 	g.link = newLink()
+	g.reach = reach.New(reach.Config{
+		Dial:    g.pool.Dial,
+		Address: g.addressOf,
+		OnState: func(target string, state owner.TargetState) { g.owners.SetTargetState(target, state) },
+		OnDown:  g.suspects.TargetLost,
+		Logger:  g.logger,
+	})
 	g.owners = owners.New(owners.Config{
 		Self:   self,
 		Sender: g.mesh,
-		OnLost: g.onLost,
+		OnLost: g.reach.Check,
 		Trial:  g.trial,
 		Logger: g.logger,
 		// The queue is held here and not in the targets, which know no order.
-		Group: owner.Options{Picker: balancer.Timely{}.Build(0), Backlog: -1},
+		Group: owner.Options{Picker: balancer.Timely{}.Build(0), Backlog: -1, CheckStalled: true},
 	})
 	g.grants = grants.New(grants.Config{
 		Self:        self,
@@ -343,6 +352,7 @@
 		g.grants.Run,
 		g.suspects.Run,
 		g.leases.Run,
+		g.reach.Run,
 		g.pool.Run,
 		func(context.Context) error { return g.front.Serve(g.callers) },
 		func(ctx context.Context) error { return serve(ctx, g.probes, g.probeHandler()) },
@@ -468,8 +478,13 @@
 	g.members.OnSession(name, up, hello)
 }
 
-// onLost takes the loss of a connection to a target with what ran there.
-func (g *Gateway) onLost(string, []owner.Running) {}
+// addressOf returns the address of a target, "" when it is not configured.
+func (g *Gateway) addressOf(target string) string {
+	if t := g.places.Target(target); t != nil {
+		return t.Address
+	}
+	return ""
+}
 
 // trial asks an ejected target for its health. A target that says that it is
 // healthy gets requests again, and is ejected anew if they fail.
--- a/entry/chat_test.go
+++ b/entry/chat_test.go
@@ -319,6 +319,7 @@
 }
 
 func (s *script) Release(*Grant, Report) {}
+func (s *script) Doubt(*Grant)           {}
 
 func (s *script) Requeue(ctx context.Context, g *Grant, _ Report) (*Grant, error) {
 	return s.Reserve(ctx, g.Need)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -20,7 +20,9 @@
 	// minFirstWait and firstWaitPerToken bound the wait for the first byte of a
 	// repeatable stream. The slowest engines prefill about 20 tokens a millisecond,
 	// behind up to a second of work of others.
-	minFirstWait      = time.Second
+	minFirstWait = time.Second
+	// doubtShare is the part of such a wait after which a target is checked.
+	doubtShare        = 0.5
 	firstWaitPerToken = 50 * time.Microsecond
 	// eventGapWait bounds the pause between events of a resumable stream. Prefill of
 	// others pauses a stream for up to half a second, callers leave after two.
@@ -143,15 +145,17 @@
 		Service:      r.Service.Name,
 		Version:      f.version,
 		Account:      r.account(),
-		Tier:         r.Caller.Tier.Rank,
+		Tier:         r.Rank,
 		PromptTokens: r.PromptTokens,
 		OutputTokens: max(1, r.OutputTokens),
 		Deadline:     r.Deadline,
 		Final:        r.Deadline,
 		FirstTokenBy: f.firstEventBy(),
-		ObjectiveBy:  r.Arrived.Add(r.Ingress.Objective),
+		ObjectiveBy:  f.objectiveBy(),
 		MaxGap:       r.Ingress.MaxGap,
 		EventTokens:  r.Service.EventTokens,
+		Late:         f.returned(),
+		Since:        r.Arrived,
 		Spread:       true,
 		Accepted:     f.started,
 		Suspect:      f.suspect,
@@ -162,6 +166,13 @@
 	}
 }
 
+const (
+	// leaveMargin is the time before a caller leaves in which its refusal is sent.
+	leaveMargin = 150 * time.Millisecond
+	// returnMargin is what a first attempt may lose on its way to the daemon.
+	returnMargin = 100 * time.Millisecond
+)
+
 // Callers leave a stream that has brought nothing for the longest of these times.
 const (
 	minPatience       = 2 * time.Second
@@ -169,15 +180,32 @@
 	gapPatience       = 8
 )
 
-// firstEventBy is the time at which the caller of a stream leaves; zero is no
-// bound.
+// firstEventBy is the time by which a stream has to begin, shortly before its caller
+// leaves; zero is no bound.
 func (f *forward) firstEventBy() time.Time {
 	r := f.request
 	if !r.Ingress.Stream || f.started {
 		return time.Time{}
 	}
 	patience := max(minPatience, objectivePatience*r.Ingress.Objective, gapPatience*r.Ingress.MaxGap)
-	return earliest(r.Deadline, r.Arrived.Add(patience))
+	return earliest(r.Deadline, r.Arrived.Add(patience-leaveMargin))
+}
+
+// objectiveBy is the time after which the answer is late; zero is no bound, for a
+// caller whose objective has passed already.
+func (f *forward) objectiveBy() time.Time {
+	r := f.request
+	if r.Ingress.Objective == 0 || f.returned() {
+		return time.Time{}
+	}
+	return r.Arrived.Add(r.Ingress.Objective)
+}
+
+// returned says whether the caller was sent away before: its time is shorter than
+// that of the ingress, and its objective has passed.
+func (f *forward) returned() bool {
+	r := f.request
+	return r.Deadline.Sub(r.Arrived) < r.Ingress.Timeout-returnMargin
 }
 
 func earliest(a, b time.Time) time.Time {
@@ -191,6 +219,8 @@
 func (f *forward) dispatch(ctx context.Context, grant *Grant, report *Report, started time.Time) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	doubt := time.AfterFunc(f.doubtAfter(), func() { f.entry.Grants.Doubt(grant) })
+	defer doubt.Stop()
 	remaining := time.Until(f.request.Deadline)
 	reply, err := f.entry.Forwarder.Dispatch(ctx, &Dispatch{
 		Request:     f.request,
@@ -203,7 +233,7 @@
 	}
 	defer reply.Body.Close()
 	if reply.Status == http.StatusOK && f.request.Ingress.Stream {
-		return f.stream(reply, grant.Target.Name, report, started)
+		return f.stream(reply, grant.Target.Name, report, started, doubt)
 	}
 	report.FirstToken = time.Since(started)
 	return f.whole(ctx, reply, grant.Target.Name, started)
@@ -224,6 +254,12 @@
 	return earliest(r.Deadline, started.Add(safeCallWait))
 }
 
+// doubtAfter is the time without a first byte after which a target is checked.
+func (f *forward) doubtAfter() time.Duration {
+	wait := minFirstWait + time.Duration(f.request.PromptTokens)*firstWaitPerToken
+	return time.Duration(doubtShare * float64(wait))
+}
+
 // fail is the error of an attempt on a target that may have run the request.
 func fail(kind attempt.Kind, target string, status int, err error) error {
 	return &attempt.Error{Kind: kind, Target: target, Status: status, Err: err}
@@ -298,7 +334,7 @@
 }
 
 // stream passes whole events on as they arrive.
-func (f *forward) stream(reply *Reply, target string, report *Report, started time.Time) error {
+func (f *forward) stream(reply *Reply, target string, report *Report, started time.Time, doubt *time.Timer) error {
 	events := eventstream.NewReader(reply.Body)
 	reply.Body.SetReadDeadline(f.firstByteBy(started))
 	for {
@@ -312,6 +348,7 @@
 		}
 		if report.FirstToken == 0 {
 			report.FirstToken = time.Since(started)
+			doubt.Stop()
 		}
 		if err := f.passEvent(reply, target, event); err != nil {
 			return err
--- a/entry/forward_ports.go
+++ b/entry/forward_ports.go
@@ -19,7 +19,10 @@
 	// ID names the request; the caller chose it, and each of its attempts has its own.
 	ID string
 	// Caller is the authenticated account; the account is nil on public ingresses.
-	Caller  Caller
+	Caller Caller
+	// Rank orders requests, 0 first: by the tier of the account, then by that of the
+	// ingress.
+	Rank    int
 	Ingress *object.Ingress
 	Service *object.Service
 
--- a/entry/plain_test.go
+++ b/entry/plain_test.go
@@ -100,6 +100,7 @@
 	return &Grant{Need: need, Target: object.Target{Name: fmt.Sprint("t", g.dice.n(3))}}, nil
 }
 
+func (g *openGrants) Doubt(*Grant)                   {}
 func (g *openGrants) Release(grant *Grant, _ Report) { g.count(grant.Need.ID, -1) }
 
 func (g *openGrants) Requeue(ctx context.Context, grant *Grant, report Report) (*Grant, error) {
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -34,6 +34,10 @@
 	ObjectiveBy time.Time
 	MaxGap      time.Duration
 	EventTokens int
+	// Late says that the objective has passed, since the caller was sent away before.
+	Late bool
+	// Since is when the request began to wait; zero is now.
+	Since time.Time
 	// Spread asks every group that may serve the request in time before it waits
 	// in the queue of one.
 	Spread bool
@@ -89,6 +93,9 @@
 type Grants interface {
 	Reserve(ctx context.Context, need Need) (*Grant, error)
 	Release(grant *Grant, report Report)
+	// Doubt tells the owner that a target has not answered a granted request for
+	// longer than usual. The grant goes on.
+	Doubt(grant *Grant)
 	// Requeue releases a preempted grant and blocks until the request is granted
 	// again. The request keeps its place in the owner's queue.
 	Requeue(ctx context.Context, grant *Grant, report Report) (*Grant, error)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -145,6 +145,7 @@
 	request := &entry.ForwardRequest{
 		ID:           c.ID,
 		Caller:       caller,
+		Rank:         index.Precedence(caller.Account, in),
 		Ingress:      in,
 		Service:      service,
 		Method:       c.Method,
--- a/internal/grants/client.go
+++ b/internal/grants/client.go
@@ -117,6 +117,23 @@
 	}
 }
 
+// Doubt implements entry.Grants. A release of no request asks the owner to check
+// the target.
+func (c *Client) Doubt(grant *entry.Grant) {
+	c.mu.Lock()
+	h := c.held[grant.Need.ID]
+	c.mu.Unlock()
+	if h != nil {
+		// Without the message, the target is checked after the next request fails.
+		_ = c.send(h.owner, &peerpb.Release{
+			Service: h.key.Service,
+			Group:   uint32(h.key.Number),
+			Target:  h.target,
+			Outcome: peerpb.ReleaseOutcome_RELEASE_TIMEOUT,
+		})
+	}
+}
+
 func (c *Client) sendRelease(h *held, grant *entry.Grant, report entry.Report) error {
 	return c.send(h.owner, &peerpb.Release{
 		Id:           grant.Need.ID,
--- a/internal/grants/encode.go
+++ b/internal/grants/encode.go
@@ -26,6 +26,8 @@
 		MaxGapMs:     uint32(need.MaxGap.Milliseconds()),
 		EventTokens:  uint32(need.EventTokens),
 		Immediate:    pick.immediate,
+		Late:         need.Late,
+		WaitedMs:     waited(need.Since),
 		Accepted:     need.Accepted,
 		Preemptible:  need.Preemptible,
 		Fingerprint:  need.Fingerprint,
@@ -37,6 +39,14 @@
 	}
 }
 
+// waited returns the milliseconds since a time, 0 for the zero time.
+func waited(since time.Time) uint32 {
+	if since.IsZero() {
+		return 0
+	}
+	return uint32(max(0, time.Since(since).Milliseconds()))
+}
+
 // timeLeft returns the time left until a bound, at least 1 ms, and 0 without one.
 func timeLeft(by time.Time) uint32 {
 	if by.IsZero() {
--- a/internal/grants/spread.go
+++ b/internal/grants/spread.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -37,7 +38,7 @@
 	refusal := noTarget()
 	anyAnswer := false
 	for _, pick := range c.byWait(need) {
-		result := c.ask(ctx, need, pick)
+		result := c.askTurns(ctx, need, pick)
 		if result.grant != nil {
 			return result.grant, nil
 		}
@@ -55,6 +56,36 @@
 	return c.reserveOwn(ctx, need)
 }
 
+// turnTime is how long a request waits in one group before it looks for a free
+// target in the others again. Objectives are 300 ms and more.
+const turnTime = 120 * time.Millisecond
+
+// errTurn ends a turn.
+var errTurn = errors.New("the turn in this group is over")
+
+// askTurns waits in a group, and looks between turns for a free target in any other
+// one. The request keeps its place by the time at which it arrived.
+func (c *Client) askTurns(ctx context.Context, need *entry.Need, pick choice) answer {
+	for {
+		turn, cancel := context.WithTimeoutCause(ctx, turnTime, errTurn)
+		result := c.ask(turn, need, pick)
+		over := result.grant == nil && turn.Err() != nil && ctx.Err() == nil
+		cancel()
+		if !over {
+			return result
+		}
+		if grant := c.reserveNow(ctx, need); grant != nil {
+			return answer{grant: grant}
+		}
+		if ctx.Err() != nil {
+			return answer{refusal: expired()}
+		}
+		if others := c.byWait(need); len(others) > 0 {
+			pick = others[0]
+		}
+	}
+}
+
 // reserveOwn schedules a request in the daemon's own share of the slots.
 func (c *Client) reserveOwn(ctx context.Context, need *entry.Need) (*entry.Grant, error) {
 	own := choice{key: topology.Key{Service: need.Service, Number: FallbackGroup}, owner: c.Self, preempt: true}
--- a/internal/owners/messages.go
+++ b/internal/owners/messages.go
@@ -53,9 +53,13 @@
 	if s == nil {
 		return
 	}
-	if m.Outcome == peerpb.ReleaseOutcome_RELEASE_TARGET_LOST {
+	switch {
+	case m.Outcome == peerpb.ReleaseOutcome_RELEASE_TARGET_LOST, m.Outcome == peerpb.ReleaseOutcome_RELEASE_TIMEOUT && d.group.CheckStalled:
 		d.onLost(m.Target, s.group.InFlight(m.Target))
 	}
+	if m.Id == "" {
+		return
+	}
 	d.observeTarget(now, s, m)
 	d.send(k, s, s.group.Release(now, owner.Report{
 		ID:           m.Id,
@@ -105,6 +109,8 @@
 		Prefix:       m.Prefix,
 	}
 	r.Immediate = m.Immediate
+	r.Late = m.Late
+	r.Waited = time.Duration(m.WaitedMs) * time.Millisecond
 	r.MaxGap = time.Duration(m.MaxGapMs) * time.Millisecond
 	r.EventTokens = int(m.EventTokens)
 	if m.ObjectiveMs > 0 {
--- a/object/index.go
+++ b/object/index.go
@@ -36,6 +36,7 @@
 	routes    routeTable
 	routesOf  map[string]routeTable
 	ingresses ingressTable
+	order     precedence
 }
 
 // place is a service in a data centre.
@@ -66,6 +67,7 @@
 	slices.SortStableFunc(x.ranked, func(a, b *Tier) int { return cmp.Compare(a.Rank, b.Rank) })
 	x.routes = newRouteTable(s.Services)
 	x.ingresses = newIngressTable(s.Ingresses)
+	x.order = newPrecedence(x)
 	x.routesOf = make(map[string]routeTable, len(s.Services))
 	for i := range s.Services {
 		x.routesOf[s.Services[i].Name] = newRouteTable(s.Services[i : i+1])
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -106,6 +106,7 @@
 			CachedTokens: p.cached,
 			FirstToken:   p.firstToken,
 			Due:          due(now, &j.request),
+			Left:         j.request.Deadline.Sub(now),
 			Disturbs:     g.disturbs(&j.request, t, p.cached),
 		})
 	}
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -55,12 +55,31 @@
 		Account: request.Account,
 		Tier:    j.request.Tier,
 		Class:   g.classOf(&j.request),
-		Arrived: now,
+		Arrived: now.Add(-request.Waited),
 	}
 	j.item.Work = g.workOf(&j.request, j.item.Class.Targets)
+	j.item.Setback = setback(j)
+	g.boundByObjective(now, j)
 	return j
 }
 
+// lateSetback puts requests whose objective has passed behind those that can still
+// be in time. It is about the time for which callers wait for a first event.
+const lateSetback = 2 * time.Second
+
+// setback orders the requests of an account. Those with an objective go by arrival:
+// each is refused when its objective cannot be met any more, so a long one must not
+// wait behind short ones that came later.
+func setback(j *job) time.Duration {
+	if j.request.Late {
+		return lateSetback
+	}
+	if !j.request.ObjectiveBy.IsZero() {
+		return 0
+	}
+	return admission.LengthFactor * j.item.Work
+}
+
 // accept marks a request as one that has run: it is followed until its final
 // deadline.
 func (j *job) accept() {
@@ -103,6 +122,7 @@
 	j.item.Class, _ = g.narrow(now, j)
 	j.item.Paid = true
 	j.item.Work = g.workOf(&j.request, j.item.Class.Targets)
+	j.item.Setback = setback(j)
 	if j.item.Class.Targets&g.upMask() == 0 {
 		g.refuse(j, ReasonNoTarget, 0)
 		return
--- a/owner/timely.go
+++ b/owner/timely.go
@@ -30,11 +30,8 @@
 }
 
 // hasTimely reports whether a target with a free slot serves a request in time and
-// without disturbing others.
+// without disturbing others. A waiting request that a free slot suits has it already.
 func (g *Group) hasTimely(now time.Time, j *job) bool {
-	if g.queue.CountUpTo(j.request.Tier) > 0 {
-		return false
-	}
 	for _, t := range g.targets {
 		if t.bit&j.item.Class.Targets == 0 || !t.hasPlace(0) || !t.fits(t.need(&j.request)) {
 			continue
@@ -53,3 +50,24 @@
 	}
 	return false
 }
+
+// boundByObjective has a request refused when it can no longer be in time while
+// others wait, instead of when its caller leaves: it is told to come back when the
+// queue is shorter, and what can still be in time goes first. A request that would
+// be late on an idle target as well keeps its later bound.
+func (g *Group) boundByObjective(now time.Time, j *job) {
+	by := j.request.ObjectiveBy
+	if by.IsZero() || j.request.Plain || j.request.Accepted {
+		return
+	}
+	for _, t := range g.targets {
+		if t.bit&j.item.Class.Targets == 0 {
+			continue
+		}
+		p := g.options.Model.Predict(g.prefillOn(now, &j.request, t))
+		if !now.Add(p.FirstToken).After(by) {
+			j.request.FirstTokenBy = by
+			return
+		}
+	}
+}
--- a/owner/types.go
+++ b/owner/types.go
@@ -53,6 +53,11 @@
 	ObjectiveBy time.Time
 	MaxGap      time.Duration
 	EventTokens int
+	// Late says that the objective has passed already.
+	Late bool
+	// Waited is the time that the request waited in other groups; it keeps its place
+	// by arrival.
+	Waited time.Duration
 	// Immediate requests are refused when no target can serve them in time now.
 	Immediate bool
 	// Accepted marks a request that has run before. It is not shed: its caller may
@@ -188,6 +193,9 @@
 	// PreemptAfter is the time that a request waits while lower-tier work runs,
 	// before it preempts; 0 takes DefaultPreemptAfter.
 	PreemptAfter time.Duration
+	// CheckStalled has targets checked on which a request made no progress, like
+	// those on which one was lost.
+	CheckStalled bool
 	// PrefixBlocks bounds the prefix index of one target; 0 takes the default of
 	// package prefix.
 	PrefixBlocks int
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -150,6 +150,15 @@
 	return c, nil
 }
 
+// Dial opens a connection to an address and closes it again.
+func (p *Pool) Dial(ctx context.Context, address string) error {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return raw.Close()
+}
+
 func (p *Pool) count(add func(*Stats)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
