--- a/adminapi/adminapi_test.go
+++ b/adminapi/adminapi_test.go
@@ -69,6 +69,14 @@
 	assert.NilError(t, err)
 	set, problems := object.Parse("authority.yaml", data)
 	assert.NilError(t, problems.Err())
+	set.Services = append(set.Services, object.Service{Name: "letters", Kind: object.PlainService, Version: "letters-1", Discovered: true})
+	set.Versions = append(set.Versions, object.Version{Name: "letters-1", Service: "letters"})
+	set.Ingresses = []object.Ingress{{
+		Name: "letters", Host: "letters.example", Prefix: "/v2/", Repeat: object.RepeatResume, Stream: true, Tier: "donors",
+		Backends: []object.Backend{{Service: "letters", Weight: 1}}, Attempts: 2,
+		Timeout: 15 * time.Second, Objective: 800 * time.Millisecond, MaxGap: 250 * time.Millisecond,
+	}}
+	assert.NilError(t, set.Check().Err())
 	return set
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"reflect"
 	"sync/atomic"
 	"time"
@@ -36,6 +38,7 @@
 // Daemon holds the parts of one daemon.
 type Daemon struct {
 	path     string
+	log      *eventlog.Async
 	settings *settings.Settings
 	logger   *eventlog.Logger
 
@@ -90,7 +93,8 @@
 	if err != nil {
 		return nil, err
 	}
-	logger, err := eventlog.New(w, s.Log.Level, s.Log.Format, s.Name)
+	async := eventlog.NewAsync(w)
+	logger, err := eventlog.New(async, s.Log.Level, s.Log.Format, s.Name)
 	if err != nil {
 		return nil, err
 	}
@@ -100,6 +104,7 @@
 			return nil, err
 		}
 		g.path = path
+		g.log = async
 		return g, nil
 	}
 	d, err := New(s, logger)
@@ -107,6 +112,7 @@
 		return nil, err
 	}
 	d.path = path
+	d.log = async
 	return d, nil
 }
 
@@ -196,6 +202,8 @@
 	duties, cancelDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelDuties()
 	group, groupCtx := errgroup.WithContext(duties)
+	stopLog := startLog(d.log, d.logger)
+	defer stopLog()
 	for _, duty := range d.duties() {
 		group.Go(func() error { return d.runDuty(groupCtx, duty) })
 	}
@@ -219,6 +227,27 @@
 	return err
 }
 
+// startLog writes log lines in the background until the returned function is
+// called, which waits for the last line. Without a writer it does nothing.
+func startLog(async *eventlog.Async, logger *eventlog.Logger) func() {
+	if async == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		onDropped := func(n int64) { logger.Emit(eventlog.LogDropped, eventlog.Fields{"dropped": n}) }
+		if err := async.Run(ctx, onDropped); err != nil {
+			fmt.Fprintln(os.Stderr, "marjoramd:", err)
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // runDuty runs one duty; its error ends the daemon.
 func (d *Daemon) runDuty(ctx context.Context, duty func(context.Context) error) error {
 	err := duty(ctx)
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/balancer"
 	"github.com/marjoramflow/marjoramflow/catalog"
 	"github.com/marjoramflow/marjoramflow/entry"
@@ -44,6 +45,7 @@
 // mesh, the owners of target groups and the entry.
 type Gateway struct {
 	path        string
+	log         *eventlog.Async
 	settings    *settings.Settings
 	logger      *eventlog.Logger
 	incarnation uint64
@@ -244,7 +246,7 @@
 	g.entry = entry.New(entry.Config{
 		Grants:    g.grants,
 		Versions:  versions{shares: g.shares},
-		Observer:  &gatewayObserver{metrics: g.metrics},
+		Observer:  &gatewayObserver{metrics: g.metrics, logger: g.logger},
 		Suspects:  g.suspects,
 		Retries:   newRetries(),
 		Forwarder: g.targets,
@@ -294,9 +296,10 @@
 	reload(g.path, g.settings, g.logger)
 }
 
-// gatewayObserver records the waits of attempts.
+// gatewayObserver records the waits of attempts and logs those that failed.
 type gatewayObserver struct {
 	metrics *metrics.Registry
+	logger  *eventlog.Logger
 }
 
 // Attempt implements entry.Observer.
@@ -304,6 +307,12 @@
 	if a.QueueWait > 0 {
 		o.metrics.Series(metrics.Labels{Tier: a.Tier, Account: a.Account, Service: a.Service}).QueueWait(a.QueueWait)
 	}
+	if a.Err != nil {
+		o.logger.EmitError(eventlog.AttemptFailed, a.Err, eventlog.Fields{
+			"request": a.Request, "target": a.Target, "kind": attempt.KindOf(a.Err).String(),
+			"tookMs": a.Duration.Milliseconds(), "inFlight": a.InFlight, "version": a.Version,
+		})
+	}
 }
 
 // Run starts the duties and serves until the context ends, then stops gracefully.
@@ -311,6 +320,8 @@
 	duties, cancelDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelDuties()
 	group, groupCtx := errgroup.WithContext(duties)
+	stopLog := startLog(g.log, g.logger)
+	defer stopLog()
 	for _, duty := range g.duties() {
 		group.Go(func() error {
 			err := duty(groupCtx)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -491,6 +491,8 @@
 func (f *forward) observe(grant *Grant, report *Report, err error) {
 	r := f.request
 	o := Observation{
+		Request:      r.ID,
+		Err:          err,
 		Service:      r.Service.Name,
 		Route:        r.Ingress.Name,
 		Version:      f.version,
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -124,6 +124,10 @@
 
 // Observation is one finished attempt.
 type Observation struct {
+	// Request is the request's id, and Err why its attempt failed; set for opaque
+	// requests.
+	Request string
+	Err     error
 	Service string
 	Route   string
 	Version string
--- /dev/null
+++ b/eventlog/async_test.go
@@ -0,0 +1,87 @@
+package eventlog
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// gatedWriter blocks until its gate is open.
+type gatedWriter struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	out  bytes.Buffer
+}
+
+func (w *gatedWriter) Write(p []byte) (int, error) {
+	<-w.gate
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(p)
+}
+
+func (w *gatedWriter) text() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.String()
+}
+
+// Guards against a blocked output that holds up requests, and against lines that
+// get lost without a word.
+func TestAsyncDropsAndSaysSo(t *testing.T) {
+	out := &gatedWriter{gate: make(chan struct{})}
+	async := NewAsync(out)
+	logger, err := New(async, "info", "json", "d")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- async.Run(ctx, func(n int64) { logger.Emit(LogDropped, Fields{"dropped": n}) }) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if async.running.Load() {
+			return poll.Success()
+		}
+		return poll.Continue("not running")
+	})
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		for range asyncLines + 100 {
+			logger.Emit(DaemonStarted, nil)
+		}
+	}()
+	select {
+	case <-finished:
+	case <-time.After(10 * time.Second):
+		close(out.gate)
+		t.Fatal("logging blocked on the output")
+	}
+	close(out.gate)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Contains(out.text(), `"event":"MF1007"`) {
+			return poll.Success()
+		}
+		return poll.Continue("no line about dropped lines")
+	})
+	cancel()
+	assert.NilError(t, <-done)
+}
+
+// Guards against lines that are lost at the end of a process.
+func TestAsyncFlushesAtTheEnd(t *testing.T) {
+	var out bytes.Buffer
+	async := NewAsync(&out)
+	logger, err := New(async, "info", "json", "d")
+	assert.NilError(t, err)
+	async.running.Store(true)
+	logger.Emit(DaemonStarted, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NilError(t, async.Run(ctx, func(int64) {}))
+	assert.Assert(t, strings.Contains(out.String(), "MF1001"))
+}
--- a/object/codec.go
+++ b/object/codec.go
@@ -189,3 +189,30 @@
 	o.Soak = time.Duration(v.Soak)
 	return nil
 }
+
+type plainIngress Ingress
+
+type ingressJSON struct {
+	plainIngress
+	Timeout   jsonDuration `json:"timeout"`
+	Objective jsonDuration `json:"objective"`
+	MaxGap    jsonDuration `json:"maxGap,omitzero"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (o Ingress) MarshalJSON() ([]byte, error) {
+	return json.Marshal(ingressJSON{plainIngress(o), jsonDuration(o.Timeout), jsonDuration(o.Objective), jsonDuration(o.MaxGap)})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (o *Ingress) UnmarshalJSON(data []byte) error {
+	var v ingressJSON
+	if err := json.Unmarshal(data, &v); err != nil {
+		return err
+	}
+	*o = Ingress(v.plainIngress)
+	o.Timeout = time.Duration(v.Timeout)
+	o.Objective = time.Duration(v.Objective)
+	o.MaxGap = time.Duration(v.MaxGap)
+	return nil
+}
--- /dev/null
+++ b/object/ingress_test.go
@@ -0,0 +1,106 @@
+package object
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func ingressSet() *Set {
+	return &Set{
+		Services: []Service{
+			{Name: "letters", Kind: PlainService, Version: "letters-1", Discovered: true},
+			{Name: "depot", Kind: PlainService, Version: "depot-1", Discovered: true},
+		},
+		Versions: []Version{{Name: "letters-1", Service: "letters"}, {Name: "depot-1", Service: "depot"}},
+		Tiers:    []Tier{{Name: "high", Rank: 0, Deadline: time.Second}, {Name: "low", Rank: 3, Deadline: time.Second}},
+		ClientAccounts: []ClientAccount{
+			{Name: "clerk", Tier: "high"}, {Name: "donor", Tier: "low"}, {Name: "guest", Tier: "low"},
+		},
+		Ingresses: []Ingress{
+			ingress("letters", "a.example", "/", "high", "letters"),
+			ingress("depot", "a.example", "/depot/", "low", "depot"),
+			ingress("stock", "a.example", "/depot/stock/", "low", "depot"),
+			ingress("other", "b.example", "/depot/", "high", "letters"),
+		},
+	}
+}
+
+func ingress(name, host, prefix, tier, service string) Ingress {
+	return Ingress{
+		Name: name, Host: host, Prefix: prefix, Tier: tier, Repeat: RepeatSafe, Attempts: 1,
+		Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, Backends: []Backend{{service, 1}},
+	}
+}
+
+// Guards against requests that reach the service of a shorter prefix or of another
+// host.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	set := ingressSet()
+	assert.NilError(t, set.Check().Err())
+	x := NewIndex(1, set)
+	for _, tc := range []struct{ host, path, want string }{
+		{"a.example", "/", "letters"},
+		{"a.example", "/depotx/1", "letters"},
+		{"a.example", "/depot/1", "depot"},
+		{"a.example", "/depot/stock", "depot"},
+		{"a.example", "/depot/stock/1/2", "stock"},
+		{"b.example", "/depot/stock/1", "other"},
+	} {
+		in := x.MatchIngress(tc.host, tc.path)
+		assert.Assert(t, in != nil, tc.path)
+		assert.Equal(t, in.Name, tc.want, tc.path)
+	}
+	assert.Assert(t, x.MatchIngress("b.example", "/") == nil)
+	assert.Assert(t, x.MatchIngress("c.example", "/depot/") == nil)
+}
+
+// Guards against a manifest with a hole that is put in force all the same.
+func TestIngressFaultsAreReported(t *testing.T) {
+	for _, tc := range []struct {
+		break_ func(*Set)
+		want   string
+	}{
+		{func(s *Set) { s.Ingresses[0].Tier = "none" }, "does not exist"},
+		{func(s *Set) { s.Ingresses[0].Prefix = "/x" }, "must end with"},
+		{func(s *Set) { s.Ingresses[0].Backends[0].Service = "none" }, "does not exist"},
+		{func(s *Set) { s.Ingresses[0].Backends[0].Weight = 0 }, "weight above zero"},
+		{func(s *Set) { s.Services[0].Discovered = false }, "not discovered"},
+		{func(s *Set) { s.Ingresses[0].Attempts = 0 }, "at least 1"},
+		{func(s *Set) { s.Ingresses[0].Timeout = 0 }, "above zero"},
+		{func(s *Set) { s.Ingresses[0].Repeat = "often" }, "repeat"},
+		{func(s *Set) { s.Ingresses[1].Prefix = "/" }, "clashes"},
+	} {
+		set := ingressSet()
+		tc.break_(set)
+		err := set.Check().Err()
+		assert.Assert(t, err != nil && strings.Contains(err.Error(), tc.want), "%s: %v", tc.want, err)
+	}
+}
+
+// Guards against an ingress's tier that outranks that of the account.
+func TestPrecedenceIsByAccountFirst(t *testing.T) {
+	x := NewIndex(1, ingressSet())
+	rank := func(account, in string) int {
+		return x.Precedence(x.ClientAccount(account), find(x.Set.Ingresses, in).(*Ingress))
+	}
+	assert.Assert(t, rank("clerk", "letters") < rank("clerk", "depot"))
+	assert.Assert(t, rank("clerk", "depot") < rank("donor", "letters"))
+	assert.Assert(t, rank("donor", "letters") < rank("donor", "depot"))
+	assert.Equal(t, rank("donor", "depot"), rank("guest", "depot"))
+	assert.Assert(t, x.Precedence(nil, &x.Set.Ingresses[0]) < x.Precedence(nil, &x.Set.Ingresses[1]))
+}
+
+// Guards against weights that are not kept.
+func TestBackendsAreChosenByWeight(t *testing.T) {
+	in := Ingress{Backends: []Backend{{"a", 90}, {"b", 0}, {"c", 10}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[in.Choose(float64(i)/1000)]++
+	}
+	assert.Equal(t, counts["a"], 900)
+	assert.Equal(t, counts["b"], 0)
+	assert.Equal(t, counts["c"], 100)
+}
