Carry out orders of the platform's operator as moves

Cause: an order to move a service was ignored, so a bad new version would have got its even share of the requests.

Ruled out: a second machine for roll-outs; the existing moves decide.

Change: catalog labels targets of the ordered version and adds a move; its deadline is agreed through one row; the first step (5%) lasts until shortly before the deadline, so that a fault that shows late has not reached a tenth of the requests; the holder writes the phase for the operator.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/marjoramflow/marjoramflow/object"
 )
@@ -20,23 +21,32 @@
 // CanaryVersion names the version of a service that is being tried.
 func CanaryVersion(service string) string { return service + canaryLabel }
 
-// Stage says how far a move has come.
-type Stage int
-
-// Stages of a move.
-const (
-	// Trying moves send a small share to the new version.
-	Trying Stage = iota
-	// Moved services are served by the new version alone.
-	Moved
-	// Reversed services are served by the other versions alone.
-	Reversed
-)
-
-// Move is an order with its stage.
+// Move is an order with the time by which it has to be done or taken back.
 type Move struct {
 	Order
-	Stage Stage
+	Deadline time.Time
+}
+
+// canaryShare is the share of requests, in percent, that a new version gets until
+// shortly before the deadline. Faults that show late or under load must not have
+// reached more than a tenth of the requests by then.
+const canaryShare = 5
+
+// moveSoak is the time at full share before a move counts as done.
+const moveSoak = 500 * time.Millisecond
+
+// object returns the move as operators would publish it. Its name tells the version,
+// so that a later order to another version is another move.
+func (m *Move) object() object.Move {
+	return object.Move{
+		Name:     m.Service + ".to." + m.To,
+		Service:  m.Service,
+		From:     StableVersion(m.Service),
+		To:       CanaryVersion(m.Service),
+		Deadline: m.Deadline,
+		Steps:    []float64{canaryShare, 100},
+		Soak:     moveSoak,
+	}
 }
 
 // State is the newest known picture. It is not safe for concurrent use.
@@ -100,7 +110,7 @@
 	return ids
 }
 
-// SetMove sets the order of a service and its stage.
+// SetMove sets the move of a service.
 func (s *State) SetMove(m Move) {
 	s.moves[m.Service] = m
 }
@@ -130,6 +140,7 @@
 		}
 	}
 	set.Targets = s.targets(set.Services)
+	set.Moves = s.objectMoves(set.Services)
 	return set
 }
 
@@ -144,10 +155,6 @@
 		if !known[i.Service] || !placed {
 			continue
 		}
-		label := s.label(&i)
-		if label == "" {
-			continue
-		}
 		out = append(out, object.Target{
 			Name:       i.ID,
 			Service:    i.Service,
@@ -159,13 +166,24 @@
 			Hardware: i.ID,
 			Slots:    i.Slots,
 			KVTokens: s.manifest.KVTokens[i.Service],
-			Versions: []string{label},
+			Versions: []string{s.label(&i)},
 			Leaving:  i.Draining,
 		})
 	}
 	return out
 }
 
+// objectMoves returns the moves of the services that are configured, in their order.
+func (s *State) objectMoves(services []object.Service) []object.Move {
+	var out []object.Move
+	for _, service := range services {
+		if move, moving := s.moves[service.Name]; moving {
+			out = append(out, move.object())
+		}
+	}
+	return out
+}
+
 // newestByAddress returns the instances in order of their ids. Of those that name
 // the same address, only the one that started last can be there.
 func (s *State) newestByAddress() []Instance {
@@ -184,26 +202,10 @@
 	return out
 }
 
-// label returns the version label of a target, or "" when it must get nothing.
+// label returns the version label of a target. The shares of a move decide how
+// many requests each label gets.
 func (s *State) label(i *Instance) string {
-	move, moving := s.moves[i.Service]
-	if !moving {
-		return StableVersion(i.Service)
-	}
-	isNew := i.Version == move.To
-	switch move.Stage {
-	case Moved:
-		if isNew {
-			return StableVersion(i.Service)
-		}
-		return ""
-	case Reversed:
-		if isNew {
-			return ""
-		}
-		return StableVersion(i.Service)
-	}
-	if isNew {
+	if move, moving := s.moves[i.Service]; moving && i.Version == move.To {
 		return CanaryVersion(i.Service)
 	}
 	return StableVersion(i.Service)
--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -78,7 +78,7 @@
 	return w.run(ctx, Registry)
 }
 
-// SetMove sets the stage of a move on this daemon.
+// SetMove sets the move of a service.
 func (w *Watcher) SetMove(m Move) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/marjoramflow/marjoramflow/internal/grants"
 	"github.com/marjoramflow/marjoramflow/internal/leases"
 	"github.com/marjoramflow/marjoramflow/internal/members"
+	"github.com/marjoramflow/marjoramflow/internal/moves"
 	"github.com/marjoramflow/marjoramflow/internal/owners"
 	"github.com/marjoramflow/marjoramflow/internal/reach"
 	"github.com/marjoramflow/marjoramflow/internal/roster"
@@ -58,6 +59,8 @@
 	roster   *roster.Roster
 	places   *places
 	shares   *rollout.Shares
+	moves    *moves.Duty
+	orders   *orders
 	mesh     *peer.Mesh
 	members  *members.Duty
 	owners   *owners.Duty
@@ -167,7 +170,7 @@
 		Source:  g.store,
 		Regions: g.settings.Gateway.DataCentres,
 		Install: g.install,
-		OnOrder: g.onOrder,
+		OnOrder: func(order catalog.Order) { g.orders.take(order) },
 		// A quarter leaves time for the call, the installation and one failure.
 		Interval: g.settings.Gateway.ApplyWithin / 4,
 		Logger:   g.logger,
@@ -229,6 +232,28 @@
 		OnDown:  g.suspects.TargetLost,
 		Logger:  g.logger,
 	})
+	g.moves = moves.New(moves.Config{
+		Self:        self,
+		Incarnation: g.incarnation,
+		Send:        g.mesh.Send,
+		Broadcast:   g.broadcast,
+		Live:        g.liveHere,
+		Everyone:    g.places.everyone,
+		DataCentres: len(g.settings.Gateway.DataCentres),
+		Table:       g.table,
+		Weights:     loadedVersions{},
+		Orders:      loadedVersions{},
+		Shares:      g.shares,
+		Options:     orderOptions(),
+		Logger:      g.logger,
+	})
+	g.orders = newOrders(ordersConfig{
+		table:       g.table,
+		moves:       g.moves,
+		setMove:     g.watcher.SetMove,
+		writeStatus: g.store.WriteStatus,
+		logger:      g.logger,
+	})
 	g.owners = owners.New(owners.Config{
 		Self:   self,
 		Sender: g.mesh,
@@ -248,7 +273,7 @@
 	g.entry = entry.New(entry.Config{
 		Grants:    g.grants,
 		Versions:  versions{shares: g.shares},
-		Observer:  &gatewayObserver{metrics: g.metrics, logger: g.logger},
+		Observer:  &gatewayObserver{observer: observer{lengths: g.lengths, moves: g.moves, metrics: g.metrics}, logger: g.logger},
 		Suspects:  g.suspects,
 		Retries:   newRetries(),
 		Forwarder: g.targets,
@@ -298,23 +323,24 @@
 	reload(g.path, g.settings, g.logger)
 }
 
-// gatewayObserver records the waits of attempts and logs those that failed.
+// gatewayObserver logs failed attempts and passes all on to the moves.
 type gatewayObserver struct {
-	metrics *metrics.Registry
-	logger  *eventlog.Logger
+	observer
+	logger *eventlog.Logger
 }
 
 // Attempt implements entry.Observer.
 func (o *gatewayObserver) Attempt(a entry.Observation) {
-	if a.QueueWait > 0 {
-		o.metrics.Series(metrics.Labels{Tier: a.Tier, Account: a.Account, Service: a.Service}).QueueWait(a.QueueWait)
-	}
 	if a.Err != nil {
 		o.logger.EmitError(eventlog.AttemptFailed, a.Err, eventlog.Fields{
 			"request": a.Request, "target": a.Target, "kind": attempt.KindOf(a.Err).String(),
 			"tookMs": a.Duration.Milliseconds(), "inFlight": a.InFlight, "version": a.Version,
 		})
 	}
+	// Versions are compared by what targets of the service usually take: an estimate
+	// of the target's own would hide that its version is slow.
+	a.Hardware = a.Service
+	o.observer.Attempt(a)
 }
 
 // Run starts the duties and serves until the context ends, then stops gracefully.
@@ -366,6 +392,8 @@
 		g.suspects.Run,
 		g.leases.Run,
 		g.reach.Run,
+		g.moves.Run,
+		g.orders.run,
 		g.pool.Run,
 		func(context.Context) error { return g.front.Serve(g.callers) },
 		func(ctx context.Context) error { return serve(ctx, g.probes, g.probeHandler()) },
@@ -440,18 +468,15 @@
 	generation := g.generation.Add(1)
 	g.limitsInForce.Store(&callerLimits)
 	g.places.setIndex(object.NewIndex(generation, set))
+	g.moves.SetConfig(set)
 	g.leases.SetConfig(set)
 	g.placesChanged()
 	g.logger.Emit(eventlog.ConfigInForce, eventlog.Fields{"generation": generation, "targets": len(set.Targets), "ingresses": len(set.Ingresses)})
 }
 
-// onOrder takes an order of the operator to move a service.
-func (g *Gateway) onOrder(catalog.Order) {}
-
 // placesChanged tells the duties that groups or owners changed.
 func (g *Gateway) placesChanged() {
-	live, _ := g.places.liveIn(g.settings.DataCentre)
-	g.owners.SetPlaces(g.places.Local(), len(live))
+	g.owners.SetPlaces(g.places.Local(), len(g.liveHere()))
 	g.link.setDaemons(g.places.liveInRegion())
 	g.grants.PlacesChanged()
 }
@@ -462,6 +487,12 @@
 	}
 }
 
+// liveHere returns the live daemons of the own data centre.
+func (g *Gateway) liveHere() []string {
+	live, _ := g.places.liveIn(g.settings.DataCentre)
+	return live
+}
+
 // broadcast sends a message to every daemon with a session.
 func (g *Gateway) broadcast(m *peerpb.Envelope) {
 	for _, s := range g.mesh.Sessions() {
@@ -479,12 +510,14 @@
 	case g.grants.OnMessage(from, m):
 	case g.leases.OnMessage(from, m):
 	case g.suspects.OnMessage(m):
+	case g.moves.OnMessage(m):
 	}
 }
 
 func (g *Gateway) onSession(name string, up bool, hello *peerpb.Hello) {
 	if up {
 		g.grants.SessionUp(name)
+		g.moves.SessionUp(name)
 	} else {
 		g.grants.SessionLost(name)
 	}
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -41,6 +41,7 @@
 	TargetGone          Event = 1407
 	MoveChanged         Event = 1501
 	MoveCut             Event = 1502
+	OrderTaken          Event = 1503
 	PlatformUnavailable Event = 1601
 )
 
@@ -86,5 +87,6 @@
 	TargetReadmitted:    {logrus.InfoLevel, "ejected target passed its trials and is used again"},
 	MoveChanged:         {logrus.InfoLevel, "move changed its phase or share"},
 	MoveCut:             {logrus.WarnLevel, "version was cut to zero share"},
+	OrderTaken:          {logrus.InfoLevel, "order to move a service was taken"},
 	PlatformUnavailable: {logrus.WarnLevel, "platform service does not answer"},
 }
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -43,7 +43,9 @@
 	Weights     provider.Weights
 	Orders      rollout.Orders
 	Shares      *rollout.Shares
-	Logger      *eventlog.Logger
+	// Options are the times of moves; nil takes rollout.DefaultOptions.
+	Options *rollout.Options
+	Logger  *eventlog.Logger
 }
 
 // candidates is the number of daemons that compete for the lease of a service.
@@ -76,6 +78,7 @@
 		Self:      config.Self,
 		Shares:    config.Shares,
 		Candidate: d.candidate,
+		Options:   config.Options,
 	})
 	return d
 }
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -38,6 +38,8 @@
 	// Policy defaults to the Machine with half of the test's error probability;
 	// the data centres' aggregators share the other half.
 	Policy Policy
+	// Options are the times of the default policy; nil takes DefaultOptions.
+	Options *Options
 	// Candidate says whether this daemon competes for the lease of a service. It
 	// bounds the reads of the store when there are many daemons; nil is always.
 	Candidate func(service string) bool
@@ -116,7 +118,11 @@
 		c.Hook = func(Point) {}
 	}
 	if c.Policy == nil {
-		c.Policy = &Machine{Options: DefaultOptions(), Judge: NewTest().Share(2)}
+		options := DefaultOptions()
+		if c.Options != nil {
+			options = *c.Options
+		}
+		c.Policy = &Machine{Options: options, Judge: NewTest().Share(2)}
 	}
 	return &Controller{
 		config: c,
