Refuse on arrival what would be late at the pace of the last second

Ruled out: the prediction by work alone; it assumes the usual speed, which a burst of long prompts does not leave.

Change: owner counts its grants of the last second; a request whose turn comes too late at that pace is refused at once with that wait as Retry-After. Requests leave the queue at half of their time at the latest.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -169,6 +169,9 @@
 const (
 	// leaveMargin is the time before a caller leaves in which its refusal is sent.
 	leaveMargin = 150 * time.Millisecond
+	// queueShare is the part of its time that a request may wait in the queue; the
+	// rest is for its answer, or for its caller to try elsewhere.
+	queueShare = 0.5
 	// returnMargin is what a first attempt may lose on its way to the daemon.
 	returnMargin = 100 * time.Millisecond
 )
@@ -180,15 +183,16 @@
 	gapPatience       = 8
 )
 
-// firstEventBy is the time by which a stream has to begin, shortly before its caller
-// leaves; zero is no bound.
+// firstEventBy is the time by which a stream has to begin: shortly before its caller
+// leaves, and while enough time is left for the answer. Zero is no bound.
 func (f *forward) firstEventBy() time.Time {
 	r := f.request
 	if !r.Ingress.Stream || f.started {
 		return time.Time{}
 	}
 	patience := max(minPatience, objectivePatience*r.Ingress.Objective, gapPatience*r.Ingress.MaxGap)
-	return earliest(r.Deadline, r.Arrived.Add(patience-leaveMargin))
+	half := time.Duration(queueShare * float64(r.Deadline.Sub(r.Arrived)))
+	return earliest(r.Arrived.Add(half), r.Arrived.Add(patience-leaveMargin))
 }
 
 // objectiveBy is the time after which the answer is late; zero is no bound, for a
--- a/owner/group.go
+++ b/owner/group.go
@@ -28,6 +28,8 @@
 	preempting int
 	// rescued are waiting requests for which work was preempted.
 	rescued []*job
+	// pace is that of the grants.
+	pace pace
 	// meanWork is the mean work of the requests granted last.
 	meanWork  time.Duration
 	nextSpeed time.Time
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -154,6 +154,9 @@
 	if g.tooLateWhenIdle(now, j, usable) {
 		return ReasonDeadline, 0
 	}
+	if wait, late := g.turnsUpLate(now, j, usable); late {
+		return ReasonCapacity, retryAfter(wait)
+	}
 	plain, wait := g.predictWait(j, usable)
 	j.wait = plain
 	late := g.lateness(now, j, usable, wait)
