--- a/entry/forward.go
+++ b/entry/forward.go
@@ -281,6 +281,9 @@
 	switch {
 	case reply.NotRun:
 		return fail(attempt.Refused, target, reply.Status, errTargetRefused)
+	case promisesNotRun(reply.Status):
+		f.held = nil
+		return fail(attempt.Failed, target, reply.Status, errTargetFailed)
 	case reply.Status >= http.StatusInternalServerError:
 		return fail(attempt.Failed, target, reply.Status, errTargetFailed)
 	}
@@ -288,6 +291,17 @@
 	return f.deliver()
 }
 
+// promisesNotRun says whether a status tells callers that their request has not run.
+// A target that sends one without saying so itself may have run the request, and
+// its answer is not passed on.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 var (
 	errTargetRefused = errors.New("the target did not run the request")
 	errTargetFailed  = errors.New("the target answered with a failure")
