Speak the platform's protocol in the stand-in; one client of the store

Cause: the demo and the tests used another protocol for the table service and the object store than the platform has.

--- /dev/null
+++ b/bench/standin/platformserver/rows_test.go
@@ -0,0 +1,57 @@
+package platformserver
+
+import (
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/catalog"
+	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
+	"github.com/marjoramflow/marjoramflow/upstream"
+)
+
+// Guards against a stand-in and a client that speak different protocols.
+func TestClientAndStandInAgree(t *testing.T) {
+	s := New(1)
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	c := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), upstream.NewPool(upstream.Options{}))
+	ctx := t.Context()
+	assert.NilError(t, c.Commit(ctx, provider.Write{Key: "a/1", Value: []byte("one")}, provider.Write{Key: "b", Value: []byte("two"), Unconditional: true}))
+	rows, err := c.Get(ctx, "a/1", "none")
+	assert.NilError(t, err)
+	assert.Equal(t, string(rows[0].Value), "one")
+	assert.Equal(t, rows[1].Version, uint64(0))
+	var conflict *provider.ConflictError
+	err = c.Commit(ctx, provider.Write{Key: "b", Value: []byte("x"), IfVersion: rows[0].Version}, provider.Write{Key: "a/1", IfVersion: 9, Delete: true})
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.DeepEqual(t, conflict.Keys, []string{"a/1"})
+	list, err := c.List(ctx, "a/", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), 1)
+	assert.NilError(t, c.Commit(ctx, provider.Write{Key: "a/1", IfVersion: rows[0].Version, Delete: true}))
+	list, err = c.List(ctx, "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), 1)
+
+	assert.NilError(t, c.Put(ctx, "sets/1", []byte("data")))
+	data, err := c.Objects().Get(ctx, "sets/1")
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "data")
+
+	batch, err := c.Snapshot(ctx, catalog.Registry)
+	assert.NilError(t, err)
+	s.mu.Lock()
+	s.version++
+	s.rows[rowKey{table: "servers", key: "i"}] = &storedRow{value: []byte(`{}`), version: s.version}
+	s.mu.Unlock()
+	batch, err = c.Changes(ctx, catalog.Registry, batch.Revision, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Entries), 1)
+	assert.Assert(t, batch.Entries[0].Fault != nil)
+}
--- a/bench/standin/platformserver/server.go
+++ b/bench/standin/platformserver/server.go
@@ -1,7 +1,7 @@
 // Package platformserver is a stand-in for the platform's table service, object
-// store, weight store and VM list. It speaks the protocol that package
-// provider/httpplatform documents, keeps everything in memory and has fault
-// switches per service.
+// store, weight store and VM list. The table service and the object store speak the
+// protocol of the users' platform, the others that of package
+// provider/httpplatform. It keeps everything in memory and has fault switches.
 package platformserver
 
 import (
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,10 +24,11 @@
 	Faults faults.Box
 
 	mu      sync.Mutex
-	rows    map[string]provider.Row
+	rows    map[rowKey]*storedRow
 	objects map[string][]byte
 	vms     []provider.VM
 	version uint64
+	started time.Time
 	weights weightBucket
 
 	reads  atomic.Int64
@@ -44,7 +44,8 @@
 // New returns an empty platform whose weight store sends bytesPerSecond.
 func New(bytesPerSecond float64) *Server {
 	return &Server{
-		rows:    make(map[string]provider.Row),
+		rows:    make(map[rowKey]*storedRow),
+		started: time.Now(),
 		objects: make(map[string][]byte),
 		weights: weightBucket{bytesPerSecond: bytesPerSecond},
 	}
@@ -65,11 +66,11 @@
 // Handler returns the HTTP interface.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/rows:get", s.faulty(s.get))
-	mux.HandleFunc("POST /v1/rows:list", s.faulty(s.list))
-	mux.HandleFunc("POST /v1/rows:commit", s.faulty(s.commit))
-	mux.HandleFunc("PUT /v1/objects/{name}", s.faulty(s.putObject))
-	mux.HandleFunc("GET /v1/objects/{name}", s.faulty(s.getObject))
+	mux.HandleFunc("POST /rows-tx", s.faulty(s.transact))
+	mux.HandleFunc("GET /rows-get", s.faulty(s.rowsGet))
+	mux.HandleFunc("GET /rows-feed", s.faulty(s.rowsFeed))
+	mux.HandleFunc("PUT /blob-put/{name}", s.faulty(s.putObject))
+	mux.HandleFunc("GET /blob-get/{name}", s.faulty(s.getObject))
 	mux.HandleFunc("POST /v1/weights:reserve", s.reserve)
 	mux.HandleFunc("GET /v1/vms", s.listVMs)
 	mux.HandleFunc("PUT /v1/vms", s.putVMs)
@@ -128,80 +129,6 @@
 	return answer{status: http.StatusBadRequest, raw: []byte(err.Error())}
 }
 
-func (s *Server) get(r *http.Request) answer {
-	var in struct{ Keys []string }
-	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		return badRequest(err)
-	}
-	s.reads.Add(1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	rows := make([]provider.Row, len(in.Keys))
-	for i, key := range in.Keys {
-		rows[i] = s.rows[key]
-		rows[i].Key = key
-	}
-	return answer{status: http.StatusOK, body: map[string]any{"rows": rows}}
-}
-
-func (s *Server) list(r *http.Request) answer {
-	var in struct {
-		Prefix string
-		Limit  int
-	}
-	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		return badRequest(err)
-	}
-	s.reads.Add(1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	rows := []provider.Row{}
-	for key, row := range s.rows {
-		if strings.HasPrefix(key, in.Prefix) {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b provider.Row) int { return strings.Compare(a.Key, b.Key) })
-	if in.Limit > 0 && len(rows) > in.Limit {
-		rows = rows[:in.Limit]
-	}
-	return answer{status: http.StatusOK, body: map[string]any{"rows": rows}}
-}
-
-func (s *Server) commit(r *http.Request) answer {
-	var in struct{ Writes []provider.Write }
-	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		return badRequest(err)
-	}
-	s.writes.Add(1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	conflicts := []string{}
-	for _, w := range in.Writes {
-		if !w.Unconditional && s.rows[w.Key].Version != w.IfVersion {
-			conflicts = append(conflicts, w.Key)
-		}
-	}
-	if len(conflicts) > 0 {
-		return answer{status: http.StatusConflict, body: map[string]any{"keys": conflicts}}
-	}
-	for _, w := range in.Writes {
-		s.apply(w)
-	}
-	return answer{status: http.StatusNoContent}
-}
-
-// apply performs one write. Versions rise over all rows, so that a row that was
-// deleted and inserted again never has an earlier version.
-func (s *Server) apply(w provider.Write) {
-	if w.Delete {
-		delete(s.rows, w.Key)
-		return
-	}
-	s.version++
-	s.rows[w.Key] = provider.Row{Key: w.Key, Value: w.Value, Version: s.version}
-}
-
 func (s *Server) putObject(r *http.Request) answer {
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -211,7 +138,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.objects[r.PathValue("name")] = data
-	return answer{status: http.StatusNoContent}
+	return answer{status: http.StatusOK}
 }
 
 func (s *Server) getObject(r *http.Request) answer {
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -3,9 +3,11 @@
 import (
 	"crypto/sha256"
 	"expvar"
+	"net/url"
 
 	"github.com/marjoramflow/marjoramflow/adminapi"
 	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/frontend"
 	"github.com/marjoramflow/marjoramflow/idempotency"
 	"github.com/marjoramflow/marjoramflow/internal/grants"
@@ -17,21 +19,23 @@
 	"github.com/marjoramflow/marjoramflow/membership"
 	"github.com/marjoramflow/marjoramflow/peer"
 	"github.com/marjoramflow/marjoramflow/plainservice"
+	"github.com/marjoramflow/marjoramflow/platform"
 	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/provider/httpplatform"
 	"github.com/marjoramflow/marjoramflow/retry"
 	"github.com/marjoramflow/marjoramflow/settings"
 	"github.com/marjoramflow/marjoramflow/store"
+	"github.com/marjoramflow/marjoramflow/upstream"
 )
 
 // openPlatform builds the adapters to the platform's services.
 func (d *Daemon) openPlatform() error {
 	p := d.settings.Platform
-	table, err := httpplatform.New(p.Table)
+	table, err := openStore(p.Table)
 	if err != nil {
 		return err
 	}
-	objects, err := httpplatform.New(p.Objects)
+	objects, err := openStore(p.Objects)
 	if err != nil {
 		return err
 	}
@@ -45,7 +49,7 @@
 	}
 	d.store = store.New(store.Config{
 		Table:   table,
-		Objects: httpplatform.Objects{Client: objects},
+		Objects: objects.Objects(),
 		Limits: store.Limits{
 			ReadsPerSecond:  d.settings.Limits.StoreReads,
 			WritesPerSecond: d.settings.Limits.StoreWrites,
@@ -59,6 +63,15 @@
 	return nil
 }
 
+// openStore returns a client of the platform's store by its base URL.
+func openStore(base string) (*platform.Store, error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return nil, fault.Wrap(err, "platform.url", base)
+	}
+	return platform.NewStore(u.Host, upstream.NewPool(upstream.Options{})), nil
+}
+
 // openMesh builds the membership duty and the mesh of sessions.
 func (d *Daemon) openMesh() error {
 	s := d.settings
--- a/provider/httpplatform/client.go
+++ b/provider/httpplatform/client.go
@@ -27,8 +27,8 @@
 )
 
 // Client speaks to one platform service by its base URL. It implements
-// provider.Table, and through its views the other ports. It is safe for
-// concurrent use.
+// provider.Weights, and through its view provider.VMList. It is safe for concurrent
+// use.
 type Client struct {
 	base string
 	peer string
@@ -49,23 +49,6 @@
 	return &Client{base: base, peer: u.Host, http: &http.Client{Transport: transport}}, nil
 }
 
-type keysBody struct {
-	Keys []string `json:"keys"`
-}
-
-type rowsBody struct {
-	Rows []provider.Row `json:"rows"`
-}
-
-type writesBody struct {
-	Writes []provider.Write `json:"writes"`
-}
-
-type listBody struct {
-	Prefix string `json:"prefix"`
-	Limit  int    `json:"limit"`
-}
-
 type reserveBody struct {
 	Version string `json:"version"`
 	Bytes   int64  `json:"bytes"`
@@ -79,28 +62,6 @@
 	VMs []provider.VM `json:"vms"`
 }
 
-// Get implements provider.Table.
-func (c *Client) Get(ctx context.Context, keys ...string) ([]provider.Row, error) {
-	var out rowsBody
-	err := c.call(ctx, "table.get", "/v1/rows:get", keysBody{Keys: keys}, &out)
-	return out.Rows, err
-}
-
-// List implements provider.Table.
-func (c *Client) List(ctx context.Context, prefix string, limit int) ([]provider.Row, error) {
-	var out rowsBody
-	err := c.call(ctx, "table.list", "/v1/rows:list", listBody{Prefix: prefix, Limit: limit}, &out)
-	return out.Rows, err
-}
-
-// Commit implements provider.Table.
-func (c *Client) Commit(ctx context.Context, writes ...provider.Write) error {
-	if len(writes) > provider.MaxTransactionRows {
-		return fault.New("table.commit", c.peer, fmt.Sprintf("%d writes in one transaction, at most %d", len(writes), provider.MaxTransactionRows))
-	}
-	return c.call(ctx, "table.commit", "/v1/rows:commit", writesBody{Writes: writes}, nil)
-}
-
 // call posts one JSON request and decodes the answer into out when it is not nil.
 func (c *Client) call(ctx context.Context, step, path string, in, out any) error {
 	body, err := json.Marshal(in)
@@ -122,12 +83,6 @@
 // decode maps a status to the errors of package provider.
 func (c *Client) decode(step string, status int, data []byte, out any) error {
 	switch {
-	case status == http.StatusConflict:
-		var keys keysBody
-		if err := json.Unmarshal(data, &keys); err != nil {
-			return fault.Wrap(err, step, c.peer)
-		}
-		return &provider.ConflictError{Keys: keys.Keys}
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
 		return fault.Wrap(provider.ErrUnavailable, step, c.peer)
 	case status >= http.StatusInternalServerError:
@@ -163,44 +118,6 @@
 	return nil, fault.Wrap(errors.Join(kind, err), step, c.peer)
 }
 
-// Put implements provider.Objects.
-func (c *Client) Put(ctx context.Context, name string, data []byte) error {
-	resp, err := c.send(ctx, "objects.put", http.MethodPut, "/v1/objects/"+url.PathEscape(name), data)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return c.decode("objects.put", resp.StatusCode, nil, nil)
-}
-
-// GetObject returns the content of an object, or provider.ErrNotFound.
-func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
-	const step = "objects.get"
-	resp, err := c.send(ctx, step, http.MethodGet, "/v1/objects/"+url.PathEscape(name), nil)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusNotFound {
-		return nil, fault.Wrap(provider.ErrNotFound, step, c.peer)
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
-		return nil, fault.Wrap(err, step, c.peer)
-	}
-	return data, c.decode(step, resp.StatusCode, data, nil)
-}
-
-// Objects is the provider.Objects view of a client.
-type Objects struct {
-	*Client
-}
-
-// Get implements provider.Objects.
-func (o Objects) Get(ctx context.Context, name string) ([]byte, error) {
-	return o.GetObject(ctx, name)
-}
-
 // Reserve implements provider.Weights.
 func (c *Client) Reserve(ctx context.Context, version string, size int64) (time.Duration, error) {
 	var out waitBody
@@ -231,8 +148,6 @@
 }
 
 var (
-	_ provider.Table   = (*Client)(nil)
-	_ provider.Objects = Objects{}
 	_ provider.Weights = (*Client)(nil)
 	_ provider.VMList  = VMs{}
 )
--- a/provider/httpplatform/client_test.go
+++ b/provider/httpplatform/client_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -21,15 +22,14 @@
 	return c
 }
 
-// Guards against a write that may have taken effect and is reported as without
-// effect, and the other way round.
-func TestOutcomesOfACommit(t *testing.T) {
+// Guards against a reservation whose outcome is reported as another one.
+func TestOutcomesOfAReservation(t *testing.T) {
 	cases := []struct {
 		name   string
 		answer http.HandlerFunc
 		want   error
 	}{
-		{"applied", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }, nil},
+		{"granted", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"waitMs":5}`)) }, nil},
 		{"unavailable", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, provider.ErrUnavailable},
 		{"over the rate", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, provider.ErrUnavailable},
 		{"internal error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, provider.ErrUnknown},
@@ -37,46 +37,34 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			err := client(t, tc.answer).Commit(t.Context(), provider.Write{Key: "k"})
+			wait, err := client(t, tc.answer).Reserve(t.Context(), "v", 1)
 			assert.Assert(t, errors.Is(err, tc.want), "%v", err)
+			if tc.want == nil {
+				assert.Equal(t, wait, 5*time.Millisecond)
+			}
 		})
 	}
 }
 
-// Guards against a conflict that loses the keys that failed.
-func TestConflictNamesItsKeys(t *testing.T) {
-	c := client(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(http.StatusConflict)
-		_, _ = w.Write([]byte(`{"keys":["a","b"]}`))
-	})
-	var conflict *provider.ConflictError
-	assert.Assert(t, errors.As(c.Commit(t.Context(), provider.Write{Key: "a"}), &conflict))
-	assert.DeepEqual(t, conflict.Keys, []string{"a", "b"})
-}
-
-// Guards against "unknown" for a write that was never sent.
-func TestRefusedConnectionHadNoEffect(t *testing.T) {
+// Guards against "unknown" for a call that was never sent, and a list that is read
+// from a broken answer.
+func TestListOfVMs(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := l.Addr().String()
 	assert.NilError(t, l.Close())
 	c, err := New("http://" + address)
 	assert.NilError(t, err)
-	assert.ErrorIs(t, c.Commit(t.Context(), provider.Write{Key: "k"}), provider.ErrUnavailable)
-}
+	_, err = VMs{c}.List(t.Context())
+	assert.ErrorIs(t, err, provider.ErrUnavailable)
 
-// Guards against object names whose slash becomes a path.
-func TestObjectNamesAreEscaped(t *testing.T) {
-	c := client(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.EscapedPath() != "/v1/objects/sets%2F1-a" {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		_, _ = w.Write([]byte("content"))
+	c = client(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"vms":[{"name":"a","state":"leaving"}]}`))
 	})
-	data, err := Objects{Client: c}.Get(t.Context(), "sets/1-a")
+	list, err := VMs{c}.List(t.Context())
 	assert.NilError(t, err)
-	assert.Equal(t, string(data), "content")
-	_, err = Objects{Client: c}.Get(t.Context(), "missing")
-	assert.ErrorIs(t, err, provider.ErrNotFound)
+	assert.DeepEqual(t, list, []provider.VM{{Name: "a", State: provider.VMLeaving}})
+	c = client(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"vms":`)) })
+	_, err = VMs{c}.List(t.Context())
+	assert.Assert(t, err != nil)
 }
--- a/provider/httpplatform/doc.go
+++ b/provider/httpplatform/doc.go
@@ -1,14 +1,11 @@
-// Package httpplatform adapts the ports of package platform to the HTTP and JSON
-// protocol that the stand-ins of the bench module speak.
+// Package httpplatform adapts the weight store and the list of VMs to the HTTP and
+// JSON protocol that the stand-ins of the bench module speak. The table service and
+// the object store have their adapter in package platform.
 //
-//	POST /v1/rows:get     {"keys": [...]}                  -> {"rows": [...]}
-//	POST /v1/rows:commit  {"writes": [...]}                -> 204, or 409 {"keys": [...]}
-//	POST /v1/rows:list    {"prefix": "...", "limit": n}    -> {"rows": [...]}
-//	PUT, GET /v1/objects/<name>                            -> 204; 200 with the content, or 404
 //	POST /v1/weights:reserve {"version": "...", "bytes": n} -> {"waitMs": n}
 //	GET  /v1/vms                                           -> {"vms": [...]}
 //
-// A commit whose connection breaks after the request was sent returns
-// platform.ErrUnknown. A refused connection and the statuses 429 and 503 return
-// platform.ErrUnavailable.
+// A call whose connection breaks after the request was sent returns
+// provider.ErrUnknown. A refused connection and the statuses 429 and 503 return
+// provider.ErrUnavailable.
 package httpplatform
