--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -115,6 +115,7 @@
 	l.perSecond, l.burst = rate, burst
 	l.units = 0
 	d.setRates(now, l)
+	d.keep(now, key, l)
 }
 
 // setRates gives the buckets of a limit their rates. The caller holds the lock.
@@ -177,9 +178,20 @@
 			l.kept = nil
 		}
 		d.setRates(now, l)
+		d.keep(now, key, l)
 	}
 }
 
+// keep makes the bucket of a limit that this daemon keeps, so that it fills before
+// the first request. The caller holds the lock.
+func (d *Duty) keep(now time.Time, key string, l *limit) {
+	if l.kept != nil || rendezvous.Owner(key, d.live) != d.Self {
+		return
+	}
+	part := d.part()
+	l.kept = ratelimit.NewBucket(now, part*l.perSecond, part*l.burst)
+}
+
 // Allow takes one request of so many tokens; a positive wait refuses it.
 func (d *Duty) Allow(account string, tokens int) time.Duration {
 	if wait := d.take(requestLimit+account, 1); wait > 0 {
--- a/internal/leases/leases_test.go
+++ b/internal/leases/leases_test.go
@@ -127,3 +127,12 @@
 	d.tick(now.Add(2 * memoryTime))
 	assert.Equal(t, d.part(), 1.0)
 }
+
+// Guards against a bucket that begins to fill with the first request, which refuses
+// callers right after a start.
+func TestBucketFillsBeforeTheFirstRequest(t *testing.T) {
+	n := newNetwork(daemons, 10000, 5000)
+	time.Sleep(300 * time.Millisecond)
+	keeper := n.duties[rendezvous.Owner(tokenLimit+"a", daemons)]
+	assert.Equal(t, keeper.Allow("a", 2500), time.Duration(0))
+}
