Adopt the targets of data centres without live daemons

Ruled out: limits, retries, store, targets.

Change: such a data centre is adopted by another one (places.adoption); kept connections are closed 3 s after the request to stop.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -440,9 +440,9 @@
 	// kept connections are still run. The balancer notices within two probes, two
 	// seconds, and what starts later might not end within the grace.
 	acceptWhileStopping = 2500 * time.Millisecond
-	// lingerShare is the part of the grace in which kept connections may still
-	// bring requests; each gets its answer and then the end of the connection.
-	lingerShare = 0.6
+	// lingerWhileStopping is the time in which kept connections may still bring
+	// requests; each gets its answer and then the end of the connection.
+	lingerWhileStopping = acceptWhileStopping + 500*time.Millisecond
 )
 
 // stop ends the daemon's work without cutting a request.
@@ -459,7 +459,7 @@
 		g.logger.EmitError(eventlog.PlatformUnavailable, err, nil)
 	}
 	g.members.Leave(ctx)
-	pause(ctx, time.Duration(lingerShare*float64(grace)))
+	pause(ctx, lingerWhileStopping)
 	return g.front.Shutdown(ctx)
 }
 
--- a/daemon/places.go
+++ b/daemon/places.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,9 @@
 	local  *topology.Topology
 	nearby []*topology.Topology
 	far    []*topology.Topology
+	// adopters names the data centre that schedules the targets of one without live
+	// daemons.
+	adopters map[string]string
 }
 
 func newPlaces(dataCentre, region string) *places {
@@ -65,11 +69,16 @@
 		return
 	}
 	old := p.snapshot.Load()
-	next := &placesSnapshot{index: p.index}
-	for dataCentre, region := range p.regions() {
+	regions := p.regions()
+	adopters := adoption(regions, p.live)
+	if !maps.Equal(adopters, old.adopters) {
+		only = nil
+	}
+	next := &placesSnapshot{index: p.index, adopters: adopters}
+	for dataCentre, region := range regions {
 		t := old.find(dataCentre)
 		if only == nil || *only == dataCentre || t == nil {
-			t = topology.Build(p.index, dataCentre, p.live[dataCentre])
+			t = p.build(dataCentre, adopters)
 		}
 		switch {
 		case dataCentre == p.dataCentre:
@@ -85,6 +94,48 @@
 	p.snapshot.Store(next)
 }
 
+// build derives the topology of a data centre. One whose targets another one
+// schedules has no groups.
+func (p *places) build(dataCentre string, adopters map[string]string) *topology.Topology {
+	if adopters[dataCentre] != "" {
+		return &topology.Topology{DataCentre: dataCentre}
+	}
+	var adopted []string
+	for orphan, adopter := range adopters {
+		if adopter == dataCentre {
+			adopted = append(adopted, orphan)
+		}
+	}
+	slices.Sort(adopted)
+	return topology.Build(p.index, dataCentre, p.live[dataCentre], adopted...)
+}
+
+// adoption returns, for each data centre without live daemons, the one that
+// schedules its targets: the first by name with live daemons in its region, else in
+// any region. All daemons with the same view choose the same.
+func adoption(regions map[string]string, live map[string][]string) map[string]string {
+	names := slices.Sorted(maps.Keys(regions))
+	out := make(map[string]string)
+	for _, orphan := range names {
+		if len(live[orphan]) > 0 {
+			continue
+		}
+		for _, other := range names {
+			if len(live[other]) == 0 {
+				continue
+			}
+			if regions[other] == regions[orphan] {
+				out[orphan] = other
+				break
+			}
+			if out[orphan] == "" {
+				out[orphan] = other
+			}
+		}
+	}
+	return out
+}
+
 // regions returns the region of each data centre that has targets, and of the
 // own one.
 func (p *places) regions() map[string]string {
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -49,13 +49,17 @@
 	byKey      map[Key]*Group
 }
 
-// Build derives the groups of a data centre.
-func Build(index *object.Index, dataCentre string, daemons []string) *Topology {
+// Build derives the groups of a data centre, with the targets of the data centres
+// that it adopted: those in which no daemon is alive.
+func Build(index *object.Index, dataCentre string, daemons []string, adopted ...string) *Topology {
+	centres := append([]string{dataCentre}, adopted...)
 	names := make(map[string][]string)
 	for i := range index.Set.Services {
 		service := index.Set.Services[i].Name
-		for _, target := range index.TargetsIn(service, dataCentre) {
-			names[service] = append(names[service], target.Name)
+		for _, centre := range centres {
+			for _, target := range index.TargetsIn(service, centre) {
+				names[service] = append(names[service], target.Name)
+			}
 		}
 	}
 	assigned := owner.Assign(names, daemons)
