--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -47,10 +47,26 @@
 type retries struct {
 	mu       sync.Mutex
 	policies map[string]*retry.Policy
+	// ratio and minPerSecond are the budget of each service on this daemon.
+	ratio, minPerSecond float64
 }
 
 func newRetries() *retries {
-	return &retries{policies: make(map[string]*retry.Policy)}
+	return &retries{
+		policies:     make(map[string]*retry.Policy),
+		ratio:        retry.DefaultRatio,
+		minPerSecond: retry.DefaultMinPerSecond,
+	}
+}
+
+// setBudget changes the budgets of all services.
+func (r *retries) setBudget(ratio, minPerSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ratio, r.minPerSecond = ratio, minPerSecond
+	for _, p := range r.policies {
+		p.Budget.SetLimits(ratio, minPerSecond)
+	}
 }
 
 // policy returns the policy of a service; the caller holds the lock.
@@ -58,6 +74,7 @@
 	p := r.policies[service]
 	if p == nil {
 		p = retry.NewPolicy()
+		p.Budget.SetLimits(r.ratio, r.minPerSecond)
 		r.policies[service] = p
 	}
 	return p
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -61,6 +61,7 @@
 	shares   *rollout.Shares
 	moves    *moves.Duty
 	orders   *orders
+	retries  *retries
 	mesh     *peer.Mesh
 	members  *members.Duty
 	owners   *owners.Duty
@@ -270,12 +271,14 @@
 		Link:        g.link,
 		Unreachable: g.members.Unreachable,
 	})
+	g.retries = newRetries()
+	g.shareRetries()
 	g.entry = entry.New(entry.Config{
 		Grants:    g.grants,
 		Versions:  versions{shares: g.shares},
 		Observer:  &gatewayObserver{observer: observer{lengths: g.lengths, moves: g.moves, metrics: g.metrics}, logger: g.logger},
 		Suspects:  g.suspects,
-		Retries:   newRetries(),
+		Retries:   g.retries,
 		Forwarder: g.targets,
 		Pause:     pause,
 	})
@@ -478,6 +481,7 @@
 func (g *Gateway) placesChanged() {
 	g.owners.SetPlaces(g.places.Local(), len(g.liveHere()))
 	g.link.setDaemons(g.places.liveInRegion())
+	g.shareRetries()
 	g.grants.PlacesChanged()
 }
 
@@ -487,6 +491,20 @@
 	}
 }
 
+// retryMargin is the part of the common retry budget that the daemons use: a
+// daemon that is cut off counts fewer others than there are, and a stream that goes
+// on elsewhere is not charged.
+const retryMargin = 0.5
+
+// shareRetries gives this daemon its part of the retry budget of all daemons. The
+// ratio counts its own requests; the slack is divided.
+func (g *Gateway) shareRetries() {
+	s := &g.settings.Gateway
+	daemons := max(1, len(g.places.everyone()))
+	slack := retryMargin * float64(s.RetrySlack) / float64(daemons)
+	g.retries.setBudget(retryMargin*s.RetryRatio, slack/s.RetryWindow.Seconds())
+}
+
 // liveHere returns the live daemons of the own data centre.
 func (g *Gateway) liveHere() []string {
 	live, _ := g.places.liveIn(g.settings.DataCentre)
--- /dev/null
+++ b/daemon/retries_test.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/retry"
+)
+
+// Guards against daemons that each take the whole slack of the common retry budget:
+// 69 of them would permit 690 retries in ten seconds where 178 are.
+func TestRetryBudgetIsDivided(t *testing.T) {
+	granted := func(r *retries) int {
+		n := 0
+		for range 1000 {
+			a := retry.Attempt{Outcome: retry.MaybeSent, Idempotent: true, Number: 1, Remaining: time.Minute}
+			if r.Decide("s", a).Kind == retry.RetryElsewhere {
+				n++
+			}
+		}
+		return n
+	}
+	r := newRetries()
+	r.setBudget(0.1, 8.9/69)
+	assert.Assert(t, granted(r) <= 2)
+	for range 100 {
+		r.Request("s")
+	}
+	assert.Assert(t, granted(r) <= 11)
+	r.setBudget(0.1, 100)
+	assert.Assert(t, granted(r) > 100)
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -39,6 +39,13 @@
 	return &Budget{ratio: ratio, minPerSecond: minPerSecond}
 }
 
+// SetLimits changes the ratio and the retries per second that are always permitted.
+func (b *Budget) SetLimits(ratio, minPerSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.minPerSecond = ratio, minPerSecond
+}
+
 // Request counts one request, not its retries.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
