--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,80 @@
+package reach
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/owner"
+)
+
+// Guards against a dark target that gets requests until each of them fails, one
+// that stays out after it is back, and a sound one that is taken out because a
+// connection broke.
+func TestDoubtfulTargetsAreChecked(t *testing.T) {
+	var up atomic.Bool
+	var mu sync.Mutex
+	var states []owner.TargetState
+	var down []uint64
+	d := New(Config{
+		Dial: func(context.Context, string) error {
+			if up.Load() {
+				return nil
+			}
+			return errors.New("no answer")
+		},
+		Address: func(string) string { return "10.0.0.1:1" },
+		OnState: func(_ string, s owner.TargetState) {
+			mu.Lock()
+			defer mu.Unlock()
+			states = append(states, s)
+		},
+		OnDown: func(_ string, fingerprints []uint64) { down = fingerprints },
+		Logger: eventlog.Discard(),
+	})
+	count := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(states)
+	}
+	waitFor := func(n int) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if count() >= n {
+				return poll.Success()
+			}
+			return poll.Continue("%d states", count())
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	}
+	running := []owner.Running{{ID: "r", Fingerprint: 7}}
+	d.Check("early", running)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.ctx != nil {
+			return poll.Success()
+		}
+		return poll.Continue("not running")
+	})
+	d.Check("t", running)
+	d.Check("t", running)
+	waitFor(1)
+	up.Store(true)
+	waitFor(2)
+	assert.DeepEqual(t, states, []owner.TargetState{owner.Down, owner.Up})
+	assert.DeepEqual(t, down, []uint64{7})
+	d.Check("t", running)
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, count(), 2)
+	cancel()
+	assert.NilError(t, <-done)
+}
