--- a/entry/forward.go
+++ b/entry/forward.go
@@ -172,6 +172,9 @@
 	// queueShare is the part of its time that a request may wait in the queue; the
 	// rest is for its answer, or for its caller to try elsewhere.
 	queueShare = 0.5
+	// returnedWait bounds the wait of a caller that was sent away before. Those still
+	// in time go first, so that a longer wait in an overload is in vain.
+	returnedWait = 700 * time.Millisecond
 	// returnMargin is what a first attempt may lose on its way to the daemon.
 	returnMargin = 100 * time.Millisecond
 )
@@ -192,6 +195,9 @@
 	}
 	patience := max(minPatience, objectivePatience*r.Ingress.Objective, gapPatience*r.Ingress.MaxGap)
 	half := time.Duration(queueShare * float64(r.Deadline.Sub(r.Arrived)))
+	if f.returned() {
+		half = min(half, returnedWait)
+	}
 	return earliest(r.Arrived.Add(half), r.Arrived.Add(patience-leaveMargin))
 }
 
