Know returned callers by their time left; split the large files

Cause: a caller counted as returned when its time was shorter than the ingress's timeout. A manifest that raises the timeout would have put every first attempt behind the others.

--- /dev/null
+++ b/daemon/gateway_build.go
@@ -0,0 +1,238 @@
+package daemon
+
+import (
+	"expvar"
+	"net"
+	"time"
+
+	"github.com/marjoramflow/marjoramflow/balancer"
+	"github.com/marjoramflow/marjoramflow/catalog"
+	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/ingress"
+	"github.com/marjoramflow/marjoramflow/internal/grants"
+	"github.com/marjoramflow/marjoramflow/internal/leases"
+	"github.com/marjoramflow/marjoramflow/internal/members"
+	"github.com/marjoramflow/marjoramflow/internal/moves"
+	"github.com/marjoramflow/marjoramflow/internal/owners"
+	"github.com/marjoramflow/marjoramflow/internal/reach"
+	"github.com/marjoramflow/marjoramflow/internal/roster"
+	"github.com/marjoramflow/marjoramflow/internal/suspects"
+	"github.com/marjoramflow/marjoramflow/membership"
+	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/owner"
+	"github.com/marjoramflow/marjoramflow/peer"
+	"github.com/marjoramflow/marjoramflow/platform"
+	"github.com/marjoramflow/marjoramflow/provider"
+	"github.com/marjoramflow/marjoramflow/store"
+)
+
+func (g *Gateway) listen() error {
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&g.callers, g.settings.Listen.Callers},
+		{&g.probes, g.settings.Gateway.Ready},
+		{&g.exposed, g.settings.Gateway.Metrics},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fault.Wrap(err, "gateway.listen", l.address)
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+// openStore builds what is read from and kept in the platform's store.
+func (g *Gateway) openStore() {
+	g.store = platform.NewStore(g.settings.Gateway.Store, g.pool)
+	g.table = store.New(store.Config{
+		Table:   g.store,
+		Objects: g.store.Objects(),
+		Limits: store.Limits{
+			ReadsPerSecond:  g.settings.Limits.StoreReads,
+			WritesPerSecond: g.settings.Limits.StoreWrites,
+		},
+		Logger: g.logger,
+	})
+	g.targets = platform.NewTargets(g.pool)
+	g.roster = roster.New(roster.Config{
+		Self: provider.VM{
+			Name:       g.settings.Name,
+			Address:    g.settings.Listen.Peers,
+			DataCentre: g.settings.DataCentre,
+			Role:       provider.RoleEntry,
+			State:      provider.VMLive,
+		},
+		Table:  g.table,
+		Logger: g.logger,
+	})
+	g.watcher = catalog.NewWatcher(catalog.WatcherConfig{
+		Source:  g.store,
+		Regions: g.settings.Gateway.DataCentres,
+		Install: g.install,
+		OnOrder: func(order catalog.Order) { g.orders.take(order) },
+		// A quarter leaves time for the call, the installation and one failure.
+		Interval: g.settings.Gateway.ApplyWithin / 4,
+		Logger:   g.logger,
+	})
+}
+
+// openMesh builds the membership duty and the mesh of sessions.
+func (g *Gateway) openMesh() error {
+	s := g.settings
+	g.members = members.New(members.Config{
+		Self: membership.Member{
+			Name:        s.Name,
+			Address:     s.Listen.Peers,
+			DataCentre:  s.DataCentre,
+			Incarnation: g.incarnation,
+		},
+		VMs:    g.roster,
+		Seeds:  seeds(s.Seeds),
+		Logger: g.logger,
+		OnLive: g.onLive,
+		OnGone: func(daemon string) { g.owners.EntryGone(daemon) },
+		OnList: func([]provider.VM) {},
+	})
+	mesh, err := peer.New(peer.Config{
+		Self: peer.Identity{
+			Name:        s.Name,
+			Address:     s.Listen.Peers,
+			DataCentre:  s.DataCentre,
+			Incarnation: g.incarnation,
+		},
+		Listen:     s.Listen.Peers,
+		TLS:        tlsFiles(s.TLS),
+		Generation: g.generation.Load,
+		OnMessage:  g.onMessage,
+		OnSession:  g.onSession,
+		Logger:     g.logger,
+	})
+	if err != nil {
+		return err
+	}
+	g.mesh = mesh
+	g.metrics.Set("mesh", expvar.Func(func() any { return mesh.Stats() }))
+	g.metrics.Set("store", expvar.Func(func() any { return g.table.Stats() }))
+	g.metrics.Set("connections", expvar.Func(func() any { return g.pool.Stats() }))
+	g.members.SetMesh(mesh)
+	return nil
+}
+
+// buildScheduling builds the owner and grant parts and the entry.
+func (g *Gateway) buildScheduling() {
+	self := g.settings.Name
+	g.suspects = suspects.New(suspects.Config{Self: self, Broadcast: g.broadcast, Table: g.table, Logger: g.logger})
+	g.leases = leases.New(leases.Config{Self: self, Send: g.mesh.Send, Everyone: g.places.everyone, Bucket: g.bucketOf})
+	g.link = newLink()
+	g.reach = reach.New(reach.Config{
+		Dial:    g.pool.Dial,
+		Address: g.addressOf,
+		OnState: func(target string, state owner.TargetState) { g.owners.SetTargetState(target, state) },
+		OnDown:  g.suspects.TargetLost,
+		Logger:  g.logger,
+	})
+	g.moves = moves.New(moves.Config{
+		Self:        self,
+		Incarnation: g.incarnation,
+		Send:        g.mesh.Send,
+		Broadcast:   g.broadcast,
+		Live:        g.liveHere,
+		Everyone:    g.places.everyone,
+		DataCentres: len(g.settings.Gateway.DataCentres),
+		Table:       g.table,
+		Weights:     loadedVersions{},
+		Orders:      loadedVersions{},
+		Shares:      g.shares,
+		Options:     orderOptions(),
+		Logger:      g.logger,
+	})
+	g.orders = newOrders(ordersConfig{
+		table:       g.table,
+		moves:       g.moves,
+		setMove:     g.watcher.SetMove,
+		writeStatus: g.store.WriteStatus,
+		logger:      g.logger,
+	})
+	g.owners = owners.New(owners.Config{
+		Self:   self,
+		Sender: g.mesh,
+		OnLost: g.reach.Check,
+		Trial:  g.trial,
+		Logger: g.logger,
+		// The queue is held here and not in the targets, which know no order.
+		Group: owner.Options{Picker: balancer.Timely{}.Build(0), Backlog: -1, CheckStalled: true},
+	})
+	g.grants = grants.New(grants.Config{
+		Self:        self,
+		Sender:      g.mesh,
+		Places:      g.places,
+		Link:        g.link,
+		Unreachable: g.members.Unreachable,
+	})
+	g.retries = newRetries()
+	g.shareRetries()
+	g.entry = entry.New(entry.Config{
+		Grants:    g.grants,
+		Versions:  versions{shares: g.shares},
+		Observer:  &gatewayObserver{observer: observer{lengths: g.lengths, moves: g.moves, metrics: g.metrics}, logger: g.logger},
+		Suspects:  g.suspects,
+		Retries:   g.retries,
+		Forwarder: g.targets,
+		Pause:     pause,
+	})
+}
+
+func (g *Gateway) buildFront() {
+	g.ingress = ingress.New(ingress.Config{
+		Index:        g.places.Index,
+		Runner:       g.entry,
+		Limiter:      g.leases,
+		Recorder:     recorder{registry: g.metrics},
+		Logger:       g.logger,
+		OpenRequests: g.settings.Limits.OpenRequests,
+	})
+	g.front = platform.NewFront(platform.FrontConfig{
+		Ingress:       g.ingress,
+		HeaderBytes:   defaultCallerLimits.HeaderBytes,
+		HeaderTimeout: defaultCallerLimits.HeaderTimeout,
+		IdleTimeout:   idleFactor * defaultCallerLimits.IdleTimeout,
+		BodyBytes:     func() int64 { return g.limitsInForce.Load().BodyBytes },
+	})
+}
+
+const (
+	// limitMargin leaves a part of what the limits tolerate for units that are
+	// leased and not yet used, and for the first units of a bucket that moves.
+	limitMargin = 0.92
+	// bucketTime is the time for which a bucket collects its rate: long enough for
+	// the longest requests of a small account, short against the window of a limit.
+	bucketTime = 1500 * time.Millisecond
+)
+
+// bucketOf returns the bucket that lets an account take what its limit tolerates in
+// each window, and no more.
+func (g *Gateway) bucketOf(account *object.ClientAccount, perSecond float64) (rate, burst float64) {
+	s := &g.settings.Gateway
+	window := s.LimitWindow.Seconds()
+	tolerated := (1+s.LimitOverage)*(perSecond*window+account.Burst) + s.LimitSlack
+	rate = limitMargin * tolerated / (window + bucketTime.Seconds())
+	return rate, rate * bucketTime.Seconds()
+}
+
+// retryMargin is the part of the common retry budget that the daemons use: a
+// daemon that is cut off counts fewer others than there are, and a stream that goes
+// on elsewhere is not charged.
+const retryMargin = 0.5
+
+// shareRetries gives this daemon its part of the retry budget of all daemons. The
+// ratio counts its own requests; the slack is divided.
+func (g *Gateway) shareRetries() {
+	s := &g.settings.Gateway
+	daemons := max(1, len(g.places.everyone()))
+	slack := retryMargin * float64(s.RetrySlack) / float64(daemons)
+	g.retries.setBudget(retryMargin*s.RetryRatio, slack/s.RetryWindow.Seconds())
+}
--- a/daemon/inputs.go
+++ b/daemon/inputs.go
@@ -4,18 +4,24 @@
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/owner"
+	"github.com/marjoramflow/marjoramflow/peer"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 )
 
 // broadcast sends a message to every daemon with a session.
-func (d *Daemon) broadcast(m *peerpb.Envelope) {
-	for _, s := range d.mesh.Sessions() {
+func broadcast(mesh *peer.Mesh, m *peerpb.Envelope) {
+	for _, s := range mesh.Sessions() {
 		// A peer that cannot take the message learns its content when its session
 		// is up again.
-		_ = d.mesh.Send(s.Name, m)
+		_ = mesh.Send(s.Name, m)
 	}
 }
 
+// broadcast sends a message to every daemon with a session.
+func (d *Daemon) broadcast(m *peerpb.Envelope) {
+	broadcast(d.mesh, m)
+}
+
 // model returns the engine's name of a version.
 func (d *Daemon) model(version string) string {
 	if index := d.places.Index(); index != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -158,13 +158,17 @@
 
 // observation describes an attempt, but for what chats and plain calls tell apart.
 func observation(grant *Grant, report *Report, caller Caller) Observation {
+	account := ""
+	if caller.Account != nil {
+		account = caller.Account.Name
+	}
 	return Observation{
 		Target:       grant.Target.Name,
 		Hardware:     grant.Target.Hardware,
 		Slots:        grant.Target.Slots,
 		InFlight:     grant.InFlight,
 		Tier:         caller.Tier.Name,
-		Account:      caller.Account.Name,
+		Account:      account,
 		Stopped:      report.Result == ResultCanceled || report.Result == ResultPreempted,
 		First:        report.FirstToken,
 		Duration:     report.Duration,
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -11,29 +11,10 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/attempt"
-	"github.com/marjoramflow/marjoramflow/eventstream"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/retry"
 )
 
-const (
-	// minFirstWait and firstWaitPerToken bound the wait for the first byte of a
-	// repeatable stream. The slowest engines prefill about 20 tokens a millisecond,
-	// behind up to a second of work of others.
-	minFirstWait = time.Second
-	// doubtShare is the part of such a wait after which a target is checked.
-	doubtShare        = 0.5
-	firstWaitPerToken = 50 * time.Microsecond
-	// eventGapWait bounds the pause between events of a resumable stream. Prefill of
-	// others pauses a stream for up to half a second, callers leave after two.
-	eventGapWait = 1500 * time.Millisecond
-	// safeCallWait bounds one attempt of a safe call that may run elsewhere. It is
-	// above the longest usual call of plain services.
-	safeCallWait = 800 * time.Millisecond
-	// maxAnswerBytes bounds an answer that is held until it is whole.
-	maxAnswerBytes = 8 << 20
-)
-
 // heldAnswer is a whole answer of a target that has not gone to the caller.
 type heldAnswer struct {
 	status int
@@ -154,7 +135,7 @@
 		ObjectiveBy:  f.objectiveBy(),
 		MaxGap:       r.Ingress.MaxGap,
 		EventTokens:  r.Service.EventTokens,
-		Late:         f.returned(),
+		Late:         r.Returned,
 		Since:        r.Arrived,
 		Spread:       true,
 		Accepted:     f.started,
@@ -166,65 +147,6 @@
 	}
 }
 
-const (
-	// leaveMargin is the time before a caller leaves in which its refusal is sent.
-	leaveMargin = 150 * time.Millisecond
-	// queueShare is the part of its time that a request may wait in the queue; the
-	// rest is for its answer, or for its caller to try elsewhere.
-	queueShare = 0.5
-	// returnedWait bounds the wait of a caller that was sent away before. Those still
-	// in time go first, so that a longer wait in an overload is in vain.
-	returnedWait = 700 * time.Millisecond
-	// returnMargin is what a first attempt may lose on its way to the daemon.
-	returnMargin = 100 * time.Millisecond
-)
-
-// Callers leave a stream that has brought nothing for the longest of these times.
-const (
-	minPatience       = 2 * time.Second
-	objectivePatience = 4
-	gapPatience       = 8
-)
-
-// firstEventBy is the time by which a stream has to begin: shortly before its caller
-// leaves, and while enough time is left for the answer. Zero is no bound.
-func (f *forward) firstEventBy() time.Time {
-	r := f.request
-	if !r.Ingress.Stream || f.started {
-		return time.Time{}
-	}
-	patience := max(minPatience, objectivePatience*r.Ingress.Objective, gapPatience*r.Ingress.MaxGap)
-	half := time.Duration(queueShare * float64(r.Deadline.Sub(r.Arrived)))
-	if f.returned() {
-		half = min(half, returnedWait)
-	}
-	return earliest(r.Arrived.Add(half), r.Arrived.Add(patience-leaveMargin))
-}
-
-// objectiveBy is the time after which the answer is late; zero is no bound, for a
-// caller whose objective has passed already.
-func (f *forward) objectiveBy() time.Time {
-	r := f.request
-	if r.Ingress.Objective == 0 || f.returned() {
-		return time.Time{}
-	}
-	return r.Arrived.Add(r.Ingress.Objective)
-}
-
-// returned says whether the caller was sent away before: its time is shorter than
-// that of the ingress, and its objective has passed.
-func (f *forward) returned() bool {
-	r := f.request
-	return r.Deadline.Sub(r.Arrived) < r.Ingress.Timeout-returnMargin
-}
-
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // dispatch sends one attempt and passes its answer on.
 func (f *forward) dispatch(ctx context.Context, grant *Grant, report *Report, started time.Time) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -249,27 +171,6 @@
 	return f.whole(ctx, reply, grant.Target.Name, started)
 }
 
-// firstByteBy is the time until which the head of an answer is waited for. A
-// request that must not run again has no more to gain elsewhere and waits to its
-// end.
-func (f *forward) firstByteBy(started time.Time) time.Time {
-	r := f.request
-	switch {
-	case !r.repeatable() || len(f.ran)+1 >= r.Ingress.Attempts:
-		return r.Deadline
-	case r.Ingress.Stream:
-		wait := minFirstWait + time.Duration(r.PromptTokens)*firstWaitPerToken
-		return earliest(r.Deadline, started.Add(wait))
-	}
-	return earliest(r.Deadline, started.Add(safeCallWait))
-}
-
-// doubtAfter is the time without a first byte after which a target is checked.
-func (f *forward) doubtAfter() time.Duration {
-	wait := minFirstWait + time.Duration(f.request.PromptTokens)*firstWaitPerToken
-	return time.Duration(doubtShare * float64(wait))
-}
-
 // fail is the error of an attempt on a target that may have run the request.
 func fail(kind attempt.Kind, target string, status int, err error) error {
 	return &attempt.Error{Kind: kind, Target: target, Status: status, Err: err}
@@ -308,12 +209,6 @@
 	return false
 }
 
-var (
-	errTargetRefused = errors.New("the target did not run the request")
-	errTargetFailed  = errors.New("the target answered with a failure")
-	errEventGap      = errors.New("events of the stream are missing")
-)
-
 func readWhole(reply *Reply) ([]byte, error) {
 	var b bytes.Buffer
 	if reply.Length > 0 && reply.Length < maxAnswerBytes {
@@ -357,89 +252,6 @@
 	return fail(attempt.Canceled, "", 0, err)
 }
 
-// stream passes whole events on as they arrive.
-func (f *forward) stream(reply *Reply, target string, report *Report, started time.Time, doubt *time.Timer) error {
-	events := eventstream.NewReader(reply.Body)
-	reply.Body.SetReadDeadline(f.firstByteBy(started))
-	for {
-		event, err := events.Next()
-		if err == io.EOF {
-			f.entry.Suspects.Finished(f.request.Fingerprint)
-			return f.endStream(reply)
-		}
-		if err != nil {
-			return fail(readFailure(context.Background(), err), target, reply.Status, err)
-		}
-		if report.FirstToken == 0 {
-			report.FirstToken = time.Since(started)
-			doubt.Stop()
-		}
-		if err := f.passEvent(reply, target, event); err != nil {
-			return err
-		}
-		reply.Body.SetReadDeadline(f.nextEventBy())
-	}
-}
-
-// endStream ends an answer. A stream without any event is passed on as it is.
-func (f *forward) endStream(reply *Reply) error {
-	if f.started {
-		return nil
-	}
-	if err := f.sink.Start(reply.Status, reply.Header, reply.Length); err != nil {
-		return f.left(err)
-	}
-	f.started = true
-	return nil
-}
-
-// passEvent passes one event on. A resumed run must go on right behind the last
-// event that the caller has.
-func (f *forward) passEvent(reply *Reply, target string, event eventstream.Event) error {
-	if event.HasID && f.lastEvent != NoEvent {
-		if event.ID <= f.lastEvent {
-			return nil
-		}
-		if event.ID > f.lastEvent+1 {
-			return fail(attempt.Cut, target, reply.Status, errEventGap)
-		}
-	}
-	if !f.started {
-		if err := f.sink.Start(reply.Status, reply.Header, reply.Length); err != nil {
-			return f.left(err)
-		}
-		f.started = true
-	}
-	if err := f.sink.Write(event.Raw); err != nil {
-		return f.left(err)
-	}
-	f.notePassed()
-	if event.HasID {
-		f.lastEvent = event.ID
-	}
-	return nil
-}
-
-// notePassed records that an event went to the caller.
-func (f *forward) notePassed() {
-	now := time.Now()
-	if f.events > 0 {
-		f.trace.MaxGap = max(f.trace.MaxGap, now.Sub(f.lastPassed))
-	}
-	f.lastPassed = now
-	f.events++
-}
-
-// nextEventBy bounds the pause after an event. A stream that cannot go on
-// elsewhere is followed to its deadline: silence is no reason to end it sooner.
-func (f *forward) nextEventBy() time.Time {
-	r := f.request
-	if r.Ingress.Repeat != object.RepeatResume || len(f.ran)+1 >= r.Ingress.Attempts {
-		return r.Deadline
-	}
-	return earliest(r.Deadline, time.Now().Add(eventGapWait))
-}
-
 // again decides whether the request is tried once more; the error is the answer
 // otherwise.
 func (f *forward) again(ctx context.Context, err error) (bool, error) {
@@ -514,25 +326,13 @@
 
 func (f *forward) observe(grant *Grant, report *Report, err error) {
 	r := f.request
-	o := Observation{
-		Request:      r.ID,
-		Err:          err,
-		Service:      r.Service.Name,
-		Route:        r.Ingress.Name,
-		Version:      f.version,
-		Target:       grant.Target.Name,
-		Hardware:     grant.Target.Hardware,
-		Slots:        grant.Target.Slots,
-		InFlight:     grant.InFlight,
-		Tier:         r.Caller.Tier.Name,
-		Account:      r.account(),
-		Stopped:      report.Result == ResultCanceled,
-		First:        report.FirstToken,
-		Duration:     report.Duration,
-		PromptTokens: report.PromptTokens,
-		OutputTokens: report.OutputTokens,
-		Plain:        r.PromptTokens == 0,
-	}
+	o := observation(grant, report, r.Caller)
+	o.Request = r.ID
+	o.Err = err
+	o.Service = r.Service.Name
+	o.Route = r.Ingress.Name
+	o.Version = f.version
+	o.Plain = r.PromptTokens == 0
 	o.Failed = err != nil && !o.Stopped
 	if f.tries == 1 {
 		o.QueueWait = grant.At.Sub(r.Arrived)
--- a/entry/forward_ports.go
+++ b/entry/forward_ports.go
@@ -41,6 +41,9 @@
 	Deadline time.Time
 	// ResumeAfter is the last event that the caller already has, or NoEvent.
 	ResumeAfter int64
+	// Returned says that the caller was sent away before, so that its objective has
+	// passed.
+	Returned bool
 }
 
 // repeatable says whether the request may run more than once.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -71,12 +71,13 @@
 type Server struct {
 	Config
 	open    atomic.Int64
+	times   callerTimes
 	leaving atomic.Bool
 }
 
 // New returns a server.
 func New(config Config) *Server {
-	return &Server{Config: config}
+	return &Server{Config: config, times: callerTimes{longest: make(map[string]time.Duration)}}
 }
 
 // Leave refuses every request from now on: the daemon ends soon, and others serve.
@@ -160,6 +161,7 @@
 		Arrived:      c.Arrived,
 		Deadline:     c.Arrived.Add(in.Timeout),
 		ResumeAfter:  c.ResumeAfter,
+		Returned:     s.times.returned(in.Name, c.TimeLeft),
 	}
 	if c.TimeLeft > 0 && c.TimeLeft < in.Timeout {
 		request.Deadline = c.Arrived.Add(c.TimeLeft)
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -72,12 +72,7 @@
 	if anyAnswer || !c.localTargets(&need) {
 		return nil, refusal
 	}
-	own := choice{key: topology.Key{Service: need.Service, Number: FallbackGroup}, owner: c.Self, preempt: true}
-	result := c.ask(ctx, &need, own)
-	if result.grant == nil {
-		return nil, orExpired(result.refusal)
-	}
-	return result.grant, nil
+	return c.reserveOwn(ctx, &need)
 }
 
 // Stages of a reservation, in order.
