Learn prefill rates without the steps of the first event

Ruled out: limits (18 refusals of long requests), crashes, the engines' memory.

Change: the steps and the fixed start of the first event are taken off, rates are learned from prompts of 1,000 tokens and more, and long prompts avoid targets whose rate is unknown.

--- a/estimate/model.go
+++ b/estimate/model.go
@@ -111,6 +111,12 @@
 	return m.engines[engineKey{version, hardware}].settled()
 }
 
+// PrefillKnown reports whether the prefill rate was observed at all.
+func (m *Model) PrefillKnown(version, hardware string) bool {
+	e := m.engines[engineKey{version, hardware}]
+	return e != nil && e.prefill.samples > 0
+}
+
 // Spread returns the factor by which predictions are stretched, see Prediction,
 // and whether enough was observed to refuse work on a prediction.
 func (m *Model) Spread(version, hardware string) (factor float64, settled bool) {
@@ -137,6 +143,10 @@
 	Ahead      int
 	FirstToken time.Duration
 	Duration   time.Duration
+	// MinPrefill is the least prefill that says something about the rate; 0 takes the
+	// default. Where a fixed time is part of FirstToken, short prompts would make a
+	// target look slow.
+	MinPrefill int
 }
 
 // minPrefillSample is the smallest prefill that says something about the rate;
@@ -151,7 +161,7 @@
 		e.plain.observe(o.Duration.Seconds())
 		return
 	}
-	if tokens := o.PrefillTokens + o.Ahead; !o.Queued && tokens >= minPrefillSample && o.FirstToken > 0 {
+	if tokens := o.PrefillTokens + o.Ahead; !o.Queued && tokens >= max(minPrefillSample, o.MinPrefill) && o.FirstToken > 0 {
 		e.prefill.observe(float64(tokens) / o.FirstToken.Seconds())
 	}
 	if decode := o.Duration - o.FirstToken; o.OutputTokens > 1 && decode > 0 {
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -104,7 +104,7 @@
 			Reported:     t.reported,
 			Finish:       p.finish,
 			CachedTokens: p.cached,
-			FirstToken:   p.firstToken,
+			FirstToken:   g.cautious(&j.request, t, p.firstToken),
 			Due:          due(now, &j.request),
 			Left:         j.request.Deadline.Sub(now),
 			Disturbs:     g.disturbs(&j.request, t, p.cached),
@@ -159,6 +159,9 @@
 		Plain:         r.Plain,
 	})
 	p := prediction{firstToken: own.FirstToken, finish: own.Finish, cached: cached}
+	if r.EventTokens > 1 {
+		p.firstToken += time.Duration(r.EventTokens) * g.options.Model.TokenTime(r.Version, t.info.Hardware, len(t.running)+1)
+	}
 	delay := time.Duration(0)
 	if !r.Plain {
 		delay = max(t.prefillEnd.Sub(now), 0)
--- a/owner/predict.go
+++ b/owner/predict.go
@@ -304,7 +304,8 @@
 		},
 		Queued:     j.inBacklog,
 		Ahead:      j.ahead,
-		FirstToken: report.FirstToken,
+		FirstToken: g.prefillPart(j, report.FirstToken),
+		MinPrefill: minPrefill(&j.request),
 		Duration:   report.Duration,
 	})
 }
--- a/owner/timely.go
+++ b/owner/timely.go
@@ -14,6 +14,52 @@
 	return max(r.ObjectiveBy.Sub(now), 1)
 }
 
+const (
+	// unprovenFactor stretches predictions for targets that have shown nothing yet:
+	// the slowest are about four times as slow as the usual ones.
+	unprovenFactor = 4
+	// provingTokens is the longest prompt by which a target may show its speed.
+	provingTokens = 2048
+)
+
+// cautious stretches the predicted first token of a long prompt on a target whose
+// speed is not known yet. Slow targets are used little, so that one of them could
+// still look fast when the longest prompt of the day arrives.
+func (g *Group) cautious(r *Request, t *target, first time.Duration) time.Duration {
+	if r.PromptTokens <= provingTokens || g.options.Model.PrefillKnown(r.Version, t.info.Hardware) {
+		return first
+	}
+	return unprovenFactor * first
+}
+
+const (
+	// streamStart is the fixed time of engines between prefill and first step.
+	streamStart = 5 * time.Millisecond
+	// minStreamPrefill is the shortest prompt by which the prefill rate of a target is
+	// learned from the first event of a stream; below it, the steps of that event
+	// take as long as the prefill.
+	minStreamPrefill = 1000
+)
+
+// minPrefill is the least prefill of a request that tells the rate; 0 is the default.
+func minPrefill(r *Request) int {
+	if r.EventTokens == 0 {
+		return 0
+	}
+	return minStreamPrefill
+}
+
+// prefillPart is the part of the time to a first event that was prefill: the event
+// takes the steps of all its tokens.
+func (g *Group) prefillPart(j *job, first time.Duration) time.Duration {
+	r := &j.request
+	if r.EventTokens == 0 || first == 0 {
+		return first
+	}
+	steps := time.Duration(r.EventTokens) * g.options.Model.TokenTime(r.Version, j.target.info.Hardware, j.batch)
+	return max(first-steps-streamStart, first/8)
+}
+
 // disturbs reports whether the prefill of a request would stretch the pauses of the
 // streams that run on a target beyond their bound. Engines read a prompt in chunks
 // between the steps of the running streams, so an event that takes several steps
@@ -43,7 +89,8 @@
 			return true
 		}
 		p := g.predictOn(now, &j.request, t)
-		late := !j.request.ObjectiveBy.IsZero() && now.Add(p.firstToken).After(j.request.ObjectiveBy)
+		first := g.cautious(&j.request, t, p.firstToken)
+		late := !j.request.ObjectiveBy.IsZero() && now.Add(first).After(j.request.ObjectiveBy)
 		if !late && !g.disturbs(&j.request, t, p.cached) {
 			return true
 		}
