Make the test of unknown speeds fail without its change

With the usual rate as the default, the known target was chosen even without the caution; it is slower than the default in the test now (checked on a scratch copy).

--- a/owner/timely_test.go
+++ b/owner/timely_test.go
@@ -19,7 +19,7 @@
 	for range 20 {
 		model.Observe(estimate.Observation{
 			Job:        estimate.Job{Version: "v", Hardware: "known", PrefillTokens: 1000, OutputTokens: 60, Batch: 1},
-			FirstToken: 100 * time.Millisecond, Duration: 400 * time.Millisecond,
+			FirstToken: 250 * time.Millisecond, Duration: 600 * time.Millisecond,
 		})
 	}
 	g := NewGroup("s", 0, Options{Model: model, Backlog: -1, Picker: balancer.Timely{}.Build(0)})
