Leave out single targets that fail the check of the whole set

Cause: a row of the registry that can be read and fails the check (an address without a port, an odd id) refused the whole set, and with it every later manifest and every change of the registry on all daemons.

Change: such targets are left out with a log line; the rest is in force. TestFaultyTargetDoesNotHoldUpTheManifest fails without it.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -259,3 +259,23 @@
 	w.apply(again.Add(returnTime+time.Second), Registry, Batch{Entries: []Entry{{Key: "one", Deleted: true}}}, false)
 	assert.Equal(t, len(installed.Targets), 0)
 }
+
+// Guards against a row of another writer that can be read and fails the check: it
+// would hold up every later manifest and every change of the registry.
+func TestFaultyTargetDoesNotHoldUpTheManifest(t *testing.T) {
+	f := newFakeSource()
+	set := watch(t, f)
+	putInstance(f, instance("good", "s", 1))
+	for i, address := range []string{"0.0.0.0:80", "10.0.0.9:0", "224.0.0.1:5"} {
+		bad := instance(fmt.Sprint("bad", i), "s", 2)
+		bad.Address = address
+		putInstance(f, bad)
+	}
+	odd := instance("odd name/x", "s", 3)
+	putInstance(f, odd)
+	f.put(Operator, Entry{Key: "config", Manifest: manifest(1, "s")})
+	eventually(t, "the good target", func() bool { return targetCount(set) == 1 })
+	f.put(Operator, Entry{Key: "config", Manifest: manifest(2, "s", "more")})
+	eventually(t, "second manifest", func() bool { return len(set().Services) == 2 })
+	assert.DeepEqual(t, names(set()), []string{"good"})
+}
--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -260,16 +261,34 @@
 	return changed
 }
 
-// install checks the whole set and puts it in force. A set that fails the check
-// leaves the one in force.
+// install checks the whole set and puts it in force. Targets that fail the check are
+// left out: a row of another writer must not hold up the manifest. A set that fails
+// all the same leaves the one in force.
 func (w *Watcher) install() {
 	set := w.state.Build()
 	if set == nil {
 		return
 	}
-	if problems := set.Check(); len(problems) > 0 {
+	problems := set.Check()
+	if faulty := faultyTargets(problems); len(faulty) > 0 {
+		w.Logger.EmitError(eventlog.EntryRefused, problems.Err(), eventlog.Fields{"topic": Registry.String(), "targets": len(faulty)})
+		set.Targets = slices.DeleteFunc(set.Targets, func(t object.Target) bool { return faulty[t.Name] })
+		problems = set.Check()
+	}
+	if len(problems) > 0 {
 		w.Logger.EmitError(eventlog.SetRefused, problems.Err(), nil)
 		return
 	}
 	w.Install(set, w.state.Manifest().Limits)
 }
+
+// faultyTargets returns the names of the targets that problems are about.
+func faultyTargets(problems object.Problems) map[string]bool {
+	faulty := make(map[string]bool)
+	for _, p := range problems {
+		if p.Kind == object.KindTarget {
+			faulty[p.Object] = true
+		}
+	}
+	return faulty
+}
