Pass the same notice about a request on once in two seconds

Daemons pass on every notice that changes their quarantine book; notices of opposite content (suspect, cleared) that meet change it each time.

Change: each daemon passes a notice with the same fingerprint and state on once in two seconds.

--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -49,6 +49,8 @@
 
 	mu   sync.Mutex
 	book *quarantine.Book
+	// relayed holds when notices of peers were passed on last.
+	relayed map[relay]time.Time
 }
 
 // New returns a duty with an empty book.
@@ -57,6 +59,7 @@
 		Config:    config,
 		convicted: ring.New[quarantine.Notice](storeRing),
 		book:      quarantine.New(quarantine.Options{}),
+		relayed:   make(map[relay]time.Time),
 	}
 }
 
@@ -112,12 +115,40 @@
 	d.book.Merge(time.Now(), notice)
 	after := d.book.Check(notice.Fingerprint)
 	d.mu.Unlock()
-	if before != after {
+	if before != after && d.mayRelay(time.Now(), notice) {
 		d.Broadcast(m)
 	}
 	return true
 }
 
+// relayInterval is the time in which a daemon passes the same notice on once. Notices
+// of opposite content that meet would otherwise pass each other on for ever.
+const relayInterval = 2 * time.Second
+
+// maxRelays bounds the notices that are remembered.
+const maxRelays = 10_000
+
+// relay names a notice that was passed on.
+type relay struct {
+	fingerprint uint64
+	state       quarantine.State
+}
+
+// mayRelay says whether a notice of a peer may be passed on now.
+func (d *Duty) mayRelay(now time.Time, n quarantine.Notice) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := relay{n.Fingerprint, n.State}
+	if now.Sub(d.relayed[key]) < relayInterval {
+		return false
+	}
+	if len(d.relayed) >= maxRelays {
+		clear(d.relayed)
+	}
+	d.relayed[key] = now
+	return true
+}
+
 // tell spreads notices and keeps convictions for the table.
 func (d *Duty) tell(notices []quarantine.Notice) {
 	for _, n := range notices {
