Share the wait that ends with its context

catalog, roster and reach each had a copy. Behaviour is the same; the tests of the three packages pass. Copies in daemon, peer, store and suspects remain.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/object"
 )
 
@@ -130,7 +131,7 @@
 	if lost {
 		return Batch{}, ErrHistoryLost
 	}
-	sleep(ctx, 5*time.Millisecond)
+	pause.For(ctx, 5*time.Millisecond)
 	return f.read(topic, after, true)
 }
 
--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/object"
 )
 
@@ -90,7 +91,7 @@
 // run reads a snapshot and then changes, and begins anew when history is lost.
 func (w *Watcher) run(ctx context.Context, topic Topic) error {
 	revision, complete := uint64(0), false
-	pause := minRetry
+	backoff := minRetry
 	for ctx.Err() == nil {
 		batch, err := w.read(ctx, topic, revision, complete)
 		switch {
@@ -99,14 +100,14 @@
 			continue
 		case err != nil:
 			w.failed(ctx, topic, err)
-			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, maxRetry)
+			pause.For(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, maxRetry)
 			continue
 		}
-		pause = minRetry
+		backoff = minRetry
 		w.apply(time.Now(), topic, batch, !complete)
 		if complete && len(batch.Entries) > 0 {
-			sleep(ctx, w.Interval)
+			pause.For(ctx, w.Interval)
 		}
 		revision, complete = max(revision, batch.Revision), true
 	}
@@ -137,15 +138,6 @@
 	return len(w.gone) > 0
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // failed logs the first failure after a success.
 func (w *Watcher) failed(ctx context.Context, topic Topic, err error) {
 	w.mu.Lock()
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/owner"
 )
 
@@ -91,7 +92,7 @@
 	}
 	d.OnDown(target, fingerprints)
 	for started := time.Now(); time.Since(started) < maxAge && d.Address(target) != ""; {
-		if !sleep(ctx, dialInterval) {
+		if !pause.For(ctx, dialInterval) {
 			return
 		}
 		if d.reachable(ctx, target) {
@@ -111,15 +112,3 @@
 	defer cancel()
 	return d.Dial(ctx, address) == nil
 }
-
-// sleep waits and reports false when the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -11,6 +11,7 @@
 
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/provider"
 )
 
@@ -64,20 +65,11 @@
 			r.Logger.EmitError(eventlog.PlatformUnavailable, err, nil)
 			failing = true
 		}
-		sleep(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (r *Roster) register(ctx context.Context) error {
 	value, err := json.Marshal(r.Self)
 	if err != nil {
