Plan targets that joined like their siblings, and renew the plan

Targets that joined were planned with the default speed (8,000 prompt tokens a second; real ones read 60,000 to 100,000), so that their first dozen prompts seemed to take seven seconds, and the plan was kept after these requests had ended. Besides, each prompt was planned behind the first event of the one before.

Ruled out: checks of reachability, ejection and the registry (no event about these targets); shown by printing the plan of targets with free slots while others waited.

Change: an engine takes what it has not shown yet from the medians of its version; the end of the prefill is computed again from the requests in flight when one ends, and holds prefill only.

Three tests fail without the change.

--- a/estimate/engine.go
+++ b/estimate/engine.go
@@ -6,8 +6,11 @@
 )
 
 // engine holds the estimates of one version on one hardware generation. A nil
-// engine stands for one that was never observed and gives the defaults.
+// engine stands for one that was never observed and gives the defaults. What an
+// engine has not shown yet is taken from a typical one of its version, if any.
 type engine struct {
+	// typical is nil for a typical engine itself.
+	typical *engine
 	prefill tracker
 	plain   tracker
 	// decode are ratios to the default time per token, by batch size.
@@ -35,11 +38,18 @@
 }
 
 func (e *engine) prefillTime(tokens int) time.Duration {
-	rate := float64(DefaultPrefillRate)
-	if e != nil && e.prefill.samples > 0 {
-		rate = e.prefill.value()
+	return time.Duration(float64(max(tokens, 0)) / e.prefillRate() * float64(time.Second))
+}
+
+// prefillRate returns prompt tokens per second.
+func (e *engine) prefillRate() float64 {
+	switch {
+	case e == nil:
+		return DefaultPrefillRate
+	case e.prefill.samples > 0:
+		return e.prefill.value()
 	}
-	return time.Duration(float64(max(tokens, 0)) / rate * float64(time.Second))
+	return e.typical.prefillRate()
 }
 
 // tokenTime takes the ratio that was observed at the nearest batch size.
@@ -48,6 +58,9 @@
 	if e == nil {
 		return usual
 	}
+	if e.typical != nil && !e.decodes() {
+		return e.typical.tokenTime(batch)
+	}
 	at := batchBucket(batch)
 	for distance := range batchBuckets {
 		for _, i := range [2]int{at - distance, at + distance} {
@@ -59,6 +72,16 @@
 	return usual
 }
 
+// decodes reports whether the time per token was observed at any batch size.
+func (e *engine) decodes() bool {
+	for i := range e.decode {
+		if e.decode[i].samples > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func defaultTokenTime(batch int) time.Duration {
 	return DefaultTokenTime + time.Duration(max(batch, 1)-1)*DefaultTokenTimeSlope
 }
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -37,6 +37,7 @@
 // Model predicts times and lengths. The zero value is not usable; call New.
 type Model struct {
 	engines map[engineKey]*engine
+	typical map[string]*typical
 	outputs map[outputKey]*quantile
 }
 
@@ -53,6 +54,7 @@
 func New() *Model {
 	return &Model{
 		engines: make(map[engineKey]*engine),
+		typical: make(map[string]*typical),
 		outputs: make(map[outputKey]*quantile),
 	}
 }
@@ -84,7 +86,7 @@
 
 // Predict returns the expected course of a job.
 func (m *Model) Predict(job Job) Prediction {
-	e := m.engines[engineKey{job.Version, job.Hardware}]
+	e := m.lookup(engineKey{job.Version, job.Hardware})
 	p := Prediction{Spread: e.spreadFactor(), Settled: e.settled()}
 	if job.Plain {
 		p.FirstToken = e.plainTime()
@@ -98,17 +100,17 @@
 
 // PrefillTime returns the time to prefill a number of tokens.
 func (m *Model) PrefillTime(version, hardware string, tokens int) time.Duration {
-	return m.engines[engineKey{version, hardware}].prefillTime(tokens)
+	return m.lookup(engineKey{version, hardware}).prefillTime(tokens)
 }
 
 // TokenTime returns the time per output token at a batch size.
 func (m *Model) TokenTime(version, hardware string, batch int) time.Duration {
-	return m.engines[engineKey{version, hardware}].tokenTime(batch)
+	return m.lookup(engineKey{version, hardware}).tokenTime(batch)
 }
 
 // Settled reports whether enough was observed to refuse work on a prediction.
 func (m *Model) Settled(version, hardware string) bool {
-	return m.engines[engineKey{version, hardware}].settled()
+	return m.lookup(engineKey{version, hardware}).settled()
 }
 
 // PrefillKnown reports whether the prefill rate was observed at all.
@@ -120,7 +122,7 @@
 // Spread returns the factor by which predictions are stretched, see Prediction,
 // and whether enough was observed to refuse work on a prediction.
 func (m *Model) Spread(version, hardware string) (factor float64, settled bool) {
-	e := m.engines[engineKey{version, hardware}]
+	e := m.lookup(engineKey{version, hardware})
 	return e.spreadFactor(), e.settled()
 }
 
@@ -157,6 +159,7 @@
 func (m *Model) Observe(o Observation) {
 	e := m.engine(engineKey{o.Version, o.Hardware})
 	e.samples++
+	defer m.observed(o.Version)
 	if o.Plain {
 		e.plain.observe(o.Duration.Seconds())
 		return
@@ -220,7 +223,7 @@
 	e := m.engines[key]
 	if e == nil {
 		makeRoom(m.engines, maxEngines)
-		e = &engine{}
+		e = &engine{typical: &m.typicalOf(key.version).engine}
 		m.engines[key] = e
 	}
 	return e
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -26,8 +26,8 @@
 
 // prediction is the expected course of a request on one target.
 type prediction struct {
-	prefillStart, firstToken, finish time.Duration
-	cached, ahead                    int
+	prefillStart, prefillEnd, firstToken, finish time.Duration
+	cached, ahead                                int
 }
 
 // dispatch grants waiting requests in order while targets have room.
@@ -140,7 +140,7 @@
 	j.passed = 0
 	t.add(j)
 	if !j.request.Plain {
-		t.prefillEnd = j.firstToken
+		t.prefillEnd = now.Add(p.prefillEnd)
 		t.index.Dispatched(now, j.request.Prefix)
 	}
 	g.meanWork += (j.item.Work - g.meanWork) / meanWorkWindow
@@ -158,7 +158,7 @@
 		Batch:         min(len(t.running)+1, max(t.info.Slots, 1)),
 		Plain:         r.Plain,
 	})
-	p := prediction{firstToken: own.FirstToken, finish: own.Finish, cached: cached}
+	p := prediction{prefillEnd: own.FirstToken, firstToken: own.FirstToken, finish: own.Finish, cached: cached}
 	if r.EventTokens > 1 {
 		p.firstToken += time.Duration(r.EventTokens) * g.options.Model.TokenTime(r.Version, t.info.Hardware, len(t.running)+1)
 	}
@@ -171,6 +171,7 @@
 		delay = max(delay, g.slotWait(t))
 	}
 	p.prefillStart = delay
+	p.prefillEnd += delay
 	p.firstToken += delay
 	p.finish += delay
 	return p
--- a/owner/group.go
+++ b/owner/group.go
@@ -39,8 +39,9 @@
 
 	// out collects the decisions of the call in progress.
 	out []Decision
-	// candidates is reused between choices of a target.
+	// candidates and reading are reused between calls.
 	candidates candidates
+	reading    []*job
 }
 
 // NewGroup returns an empty group.
@@ -270,7 +271,9 @@
 	if j.preempting {
 		g.preempting--
 	}
-	j.target.remove(j)
+	t := j.target
+	t.remove(j)
+	g.replanPrefill(t)
 }
 
 // refuse drops a job and tells its entry.
--- /dev/null
+++ b/owner/prefill_test.go
@@ -0,0 +1,81 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/marjoramflow/marjoramflow/balancer"
+	"github.com/marjoramflow/marjoramflow/estimate"
+)
+
+// joined returns a group with a busy target of known speed and one that just joined.
+func joined(now time.Time, model *estimate.Model) *Group {
+	g := NewGroup("s", 0, Options{Model: model, Backlog: -1, Picker: balancer.Timely{}.Build(0)})
+	g.SetTargets(now, []TargetInfo{
+		{Name: "known", Hardware: "known", Slots: 1, Versions: []string{"v"}},
+		{Name: "joined", Hardware: "joined", Slots: 8, Versions: []string{"v"}},
+	})
+	return g
+}
+
+func streamOf(now time.Time, id string, prompt int) Request {
+	return Request{ID: id, Entry: "e", Version: "v", PromptTokens: prompt, OutputTokens: 60, Deadline: now.Add(time.Minute),
+		FirstTokenBy: now.Add(2 * time.Second), ObjectiveBy: now.Add(400 * time.Millisecond), MaxGap: 250 * time.Millisecond, EventTokens: 6}
+}
+
+// Guards against targets that just joined and stay idle for seconds in an overload:
+// their first prompts were planned with a default speed, and the plan was kept after
+// these requests had ended (seen after releases of targets under load).
+func TestJoinedTargetIsUsableOnceItsRequestsEnded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := joined(now, estimate.New())
+	for i := range 8 {
+		r := streamOf(now, fmt.Sprint("first", i), 4000)
+		r.Target = "joined"
+		g.Reserve(now, r)
+		assert.Assert(t, g.jobs[r.ID] != nil && g.jobs[r.ID].target != nil)
+	}
+	now = now.Add(300 * time.Millisecond)
+	for i := range 8 {
+		g.Release(now, Report{ID: fmt.Sprint("first", i), Target: "joined", Outcome: OutcomeFailed})
+	}
+	r := streamOf(now, "next", 1000)
+	r.Immediate, r.Target = true, "joined"
+	assert.Equal(t, g.Reserve(now, r)[0].Kind, Grant)
+}
+
+// Guards against a target that joins in an overload and is planned with the defaults,
+// which are far from the engines of its version.
+func TestJoinedTargetIsPlannedLikeTheOthersOfItsVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	model := estimate.New()
+	observe(model, "known", 4000, 60, 60*time.Millisecond, 300*time.Millisecond)
+	g := joined(now, model)
+	granted := 0
+	for i := range 8 {
+		r := streamOf(now, fmt.Sprint("r", i), 2000)
+		r.Immediate = true
+		if d := g.Reserve(now, r); d[0].Kind == Grant {
+			granted++
+		}
+	}
+	// 8 prompts of 2,000 tokens take 240 ms on an engine like the known one.
+	assert.Equal(t, granted, 8)
+}
+
+// Guards against prompts that are planned one behind the other as if the first event
+// of each had to be made before the next one is read.
+func TestNextPromptIsReadWhileTheFirstEventIsMade(t *testing.T) {
+	now := time.Unix(1000, 0)
+	model := estimate.New()
+	observe(model, "known", 4000, 60, 60*time.Millisecond, 300*time.Millisecond)
+	g := joined(now, model)
+	r := streamOf(now, "first", 1000)
+	r.Target = "known"
+	g.Reserve(now, r)
+	prefill := model.PrefillTime("v", "known", 1000)
+	assert.Equal(t, g.byName["known"].prefillEnd.Sub(now), prefill)
+}
