Let few daemons of a data centre ask the store for changes often

The short wait was there to notice connections that have gone silent.

Ruled out: long waits alone (a change on a silent connection would be missed for as long as the call waits); TCP keep-alive alone (a store that lost the answer still answers probes).

Change: two daemons of each data centre ask often and tell the others the revisions that they saw, each second and at each change. The others wait 25 s in one call, give it up when they hear of a revision that they lack, and ask often themselves while nobody tells. The roster is read every 20 s. What counts as an outage of the store is now the time since a call failed or stopped being covered, not since the last answer: TestTargetsMissingAfterAnOutageAreKeptForAMoment states the outage accordingly and checks besides that a long call is none.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -151,6 +151,13 @@
 	return b, nil
 }
 
+// alone stands for no other daemons.
+type alone struct{}
+
+func (alone) Covered() bool          { return false }
+func (alone) Told(Topic) uint64      { return 0 }
+func (alone) Answered(Topic, uint64) {}
+
 // watch starts a watcher and returns the last set that it installed.
 func watch(t *testing.T, source Source) func() *object.Set {
 	t.Helper()
@@ -165,6 +172,7 @@
 			last = set
 		},
 		OnOrder: func(Order) {},
+		Peers:   alone{},
 		Logger:  eventlog.Discard(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -243,6 +251,7 @@
 	assert.Equal(t, len(installed.Targets), 1)
 
 	back := start.Add(20 * time.Second)
+	w.doubt(start.Add(3*time.Second), Registry)
 	w.apply(back, Registry, Batch{}, true)
 	assert.Equal(t, len(installed.Targets), 1)
 	w.apply(back.Add(returnTime/2), Registry, Batch{Entries: []Entry{{Key: "one", Instance: &one}}}, false)
@@ -250,6 +259,7 @@
 	assert.Equal(t, len(installed.Targets), 1)
 
 	again := back.Add(20 * time.Second)
+	w.doubt(back.Add(8*time.Second), Registry)
 	w.apply(again, Registry, Batch{Entries: []Entry{{Key: "one", Deleted: true}}}, false)
 	assert.Equal(t, len(installed.Targets), 1)
 	assert.Assert(t, w.pending())
@@ -259,6 +269,10 @@
 	w.apply(again.Add(returnTime), Registry, Batch{Entries: []Entry{{Key: "one", Instance: &one}}}, false)
 	w.apply(again.Add(returnTime+time.Second), Registry, Batch{Entries: []Entry{{Key: "one", Deleted: true}}}, false)
 	assert.Equal(t, len(installed.Targets), 0)
+	// A call that waited long for a change is no outage.
+	w.apply(again.Add(returnTime), Registry, Batch{Entries: []Entry{{Key: "one", Instance: &one}}}, false)
+	w.apply(again.Add(coveredWait), Registry, Batch{Entries: []Entry{{Key: "one", Deleted: true}}}, false)
+	assert.Equal(t, len(installed.Targets), 0)
 }
 
 // Guards against a row of another writer that can be read and fails the check: it
--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -18,6 +18,9 @@
 	// connection that has gone silent is noticed callSlack later, inside the time
 	// after which a daemon whose connections broke has to be up to date, 4 s.
 	changesWait = 2500 * time.Millisecond
+	// coveredWait is that time while other daemons would tell of a change that is
+	// missed. The source allows 30 s.
+	coveredWait = 25 * time.Second
 	// callSlack is added to the wait for the answer itself.
 	callSlack = 700 * time.Millisecond
 	// snapshotTimeout bounds one snapshot.
@@ -42,12 +45,27 @@
 	Install func(set *object.Set, limits CallerLimits)
 	// OnOrder is told every order of the operator.
 	OnOrder func(Order)
+	// Peers are the other daemons that follow the source.
+	Peers Peers
 	// Interval is the least time between two reads of changes. Changes that come
 	// close together cost one call and one installation.
 	Interval time.Duration
 	Logger   *eventlog.Logger
 }
 
+// Peers are the other daemons that follow the same source. Its methods are safe for
+// concurrent use.
+type Peers interface {
+	// Covered reports whether a daemon that asks the source often would tell of a
+	// change that this one misses.
+	Covered() bool
+	// Told returns the newest revision of a topic that another daemon told.
+	Told(topic Topic) uint64
+	// Answered is called after each answer of the source, with the newest revision of
+	// the topic in it; 0 is none.
+	Answered(topic Topic, revision uint64)
+}
+
 // Watcher follows a source. Its methods are safe for concurrent use.
 type Watcher struct {
 	WatcherConfig
@@ -58,6 +76,8 @@
 	// at which they are given up.
 	gone map[string]time.Time
 	last [topics]time.Time
+	// away is since when the source may have been away; zero while it answers.
+	away [topics]time.Time
 	lost [topics]bool
 }
 
@@ -90,11 +110,14 @@
 
 // run reads a snapshot and then changes, and begins anew when history is lost.
 func (w *Watcher) run(ctx context.Context, topic Topic) error {
-	revision, complete := uint64(0), false
+	revision, complete, renewed := uint64(0), false, false
 	backoff := minRetry
 	for ctx.Err() == nil {
-		batch, err := w.read(ctx, topic, revision, complete)
+		batch, err := w.read(ctx, topic, revision, complete, renewed)
+		renewed = errors.Is(err, errRenew)
 		switch {
+		case renewed:
+			continue
 		case errors.Is(err, ErrHistoryLost):
 			complete = false
 			continue
@@ -106,6 +129,7 @@
 		}
 		backoff = minRetry
 		w.apply(time.Now(), topic, batch, !complete)
+		w.Peers.Answered(topic, newest(batch))
 		if complete && len(batch.Entries) > 0 {
 			pause.For(ctx, w.Interval)
 		}
@@ -114,20 +138,32 @@
 	return nil
 }
 
-func (w *Watcher) read(ctx context.Context, topic Topic, revision uint64, complete bool) (Batch, error) {
-	timeout := snapshotTimeout
-	if complete {
-		timeout = changesWait + callSlack
+// newest returns the revision of the newest entry of a batch.
+func newest(b Batch) uint64 {
+	revision := uint64(0)
+	for i := range b.Entries {
+		revision = max(revision, b.Entries[i].Revision)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if !complete {
+	return revision
+}
+
+func (w *Watcher) read(ctx context.Context, topic Topic, revision uint64, complete, renewed bool) (Batch, error) {
+	switch {
+	case !complete:
+		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		defer cancel()
 		return w.Source.Snapshot(ctx, topic)
+	case topic == Registry && w.pending():
+		return w.changes(ctx, topic, revision, returnTime/4)
+	case !renewed && w.Peers.Covered():
+		return w.coveredChanges(ctx, topic, revision)
 	}
-	wait := changesWait
-	if topic == Registry && w.pending() {
-		wait = returnTime / 4
-	}
+	return w.changes(ctx, topic, revision, changesWait)
+}
+
+func (w *Watcher) changes(ctx context.Context, topic Topic, revision uint64, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
+	defer cancel()
 	return w.Source.Changes(ctx, topic, revision, wait)
 }
 
@@ -138,10 +174,23 @@
 	return len(w.gone) > 0
 }
 
+// doubt notes that the source may have been away since shortly before. The caller
+// holds the lock.
+func (w *Watcher) doubt(now time.Time, topic Topic) {
+	if !w.away[topic].IsZero() {
+		return
+	}
+	w.away[topic] = now.Add(-changesWait - callSlack)
+	if last := w.last[topic]; last.After(w.away[topic]) {
+		w.away[topic] = last
+	}
+}
+
 // failed logs the first failure after a success.
 func (w *Watcher) failed(ctx context.Context, topic Topic, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.doubt(time.Now(), topic)
 	if w.lost[topic] || ctx.Err() != nil {
 		return
 	}
@@ -153,8 +202,8 @@
 func (w *Watcher) apply(now time.Time, topic Topic, batch Batch, snapshot bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	afterOutage := !w.last[topic].IsZero() && now.Sub(w.last[topic]) > changesWait+outageTime
-	w.last[topic] = now
+	afterOutage := !w.last[topic].IsZero() && !w.away[topic].IsZero() && now.Sub(w.away[topic]) > changesWait+outageTime
+	w.last[topic], w.away[topic] = now, time.Time{}
 	if w.lost[topic] {
 		w.lost[topic] = false
 		w.Logger.Emit(eventlog.SourceBack, eventlog.Fields{"topic": topic.String(), "revision": batch.Revision})
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/marjoramflow/marjoramflow/internal/members"
 	"github.com/marjoramflow/marjoramflow/internal/moves"
 	"github.com/marjoramflow/marjoramflow/internal/owners"
+	"github.com/marjoramflow/marjoramflow/internal/pollers"
 	"github.com/marjoramflow/marjoramflow/internal/reach"
 	"github.com/marjoramflow/marjoramflow/internal/roster"
 	"github.com/marjoramflow/marjoramflow/internal/suspects"
@@ -48,6 +49,7 @@
 	pool     *upstream.Pool
 	targets  *platform.Targets
 	watcher  *catalog.Watcher
+	pollers  *pollers.Duty
 	roster   *roster.Roster
 	places   *places
 	shares   *rollout.Shares
@@ -166,6 +168,7 @@
 		g.roster.Run,
 		g.watcher.RunOperator,
 		g.watcher.RunRegistry,
+		g.pollers.Run,
 		g.owners.Run,
 		g.grants.Run,
 		g.suspects.Run,
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -15,6 +15,7 @@
 	"github.com/marjoramflow/marjoramflow/internal/members"
 	"github.com/marjoramflow/marjoramflow/internal/moves"
 	"github.com/marjoramflow/marjoramflow/internal/owners"
+	"github.com/marjoramflow/marjoramflow/internal/pollers"
 	"github.com/marjoramflow/marjoramflow/internal/reach"
 	"github.com/marjoramflow/marjoramflow/internal/roster"
 	"github.com/marjoramflow/marjoramflow/internal/suspects"
@@ -22,6 +23,7 @@
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/owner"
 	"github.com/marjoramflow/marjoramflow/peer"
+	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/platform"
 	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/store"
@@ -69,11 +71,18 @@
 		Table:  g.table,
 		Logger: g.logger,
 	})
+	g.pollers = pollers.New(pollers.Config{
+		Self:       g.settings.Name,
+		DataCentre: g.settings.DataCentre,
+		Here:       g.liveHere,
+		Send:       func(to string, m *peerpb.Envelope) error { return g.mesh.Send(to, m) },
+	})
 	g.watcher = catalog.NewWatcher(catalog.WatcherConfig{
 		Source:  g.store,
 		Regions: g.settings.Gateway.DataCentres,
 		Install: g.install,
 		OnOrder: func(order catalog.Order) { g.orders.take(order) },
+		Peers:   g.pollers,
 		// A quarter leaves time for the call, the installation and one failure.
 		Interval: g.settings.Gateway.ApplyWithin / 4,
 		Logger:   g.logger,
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -24,6 +24,7 @@
 	EntryRefused        Event = 1109
 	SourceLost          Event = 1110
 	SourceBack          Event = 1111
+	SourceRenewed       Event = 1112
 	SessionUp           Event = 1201
 	SessionDown         Event = 1202
 	MemberChanged       Event = 1203
@@ -70,6 +71,7 @@
 	EntryRefused:        {logrus.WarnLevel, "entry of the platform's store cannot be read and is skipped"},
 	SourceLost:          {logrus.WarnLevel, "platform's store does not answer; the last picture stays in force"},
 	SourceBack:          {logrus.InfoLevel, "platform's store answers again"},
+	SourceRenewed:       {logrus.InfoLevel, "call for changes was given up and is made anew"},
 	SessionUp:           {logrus.InfoLevel, "session with a peer is up"},
 	SessionDown:         {logrus.WarnLevel, "session with a peer ended"},
 	MemberChanged:       {logrus.InfoLevel, "member changed its state"},
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -25,10 +25,10 @@
 	// retryPause is the pause after a failed registration.
 	retryPause = 500 * time.Millisecond
 	// quickReads are the first reads, a second apart: daemons that start together
-	// must find one another soon. Later ones follow every readInterval, since a new
-	// daemon dials those that it finds.
+	// must find one another soon. Later ones follow every readInterval: a new daemon
+	// dials those that it finds, and gossip tells the others.
 	quickReads   = 3
-	readInterval = 5 * time.Second
+	readInterval = 20 * time.Second
 )
 
 // Config holds the parts of a Roster. All are required.
--- a/peer/stats.go
+++ b/peer/stats.go
@@ -33,7 +33,7 @@
 var kinds = kindNames()
 
 // kindCount is one more than the highest field number of Envelope.
-const kindCount = 22
+const kindCount = 23
 
 type kindCounter struct {
 	messages atomic.Uint64
