Share speeds between engines in plans only

Cause: a model that also judges what is slow must not take the speed of other hardware: a version would look slow on a slower generation.

Change: estimate.NewSharing for the owners, estimate.New for the yardstick of moves.

--- a/estimate/engine.go
+++ b/estimate/engine.go
@@ -9,7 +9,7 @@
 // engine stands for one that was never observed and gives the defaults. What an
 // engine has not shown yet is taken from a typical one of its version, if any.
 type engine struct {
-	// typical is nil for a typical engine itself.
+	// typical is nil for a typical engine itself, and where engines do not share.
 	typical *engine
 	prefill tracker
 	plain   tracker
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -37,6 +37,7 @@
 // Model predicts times and lengths. The zero value is not usable; call New.
 type Model struct {
 	engines map[engineKey]*engine
+	// typical is nil in a model whose engines do not share.
 	typical map[string]*typical
 	outputs map[outputKey]*quantile
 }
@@ -54,11 +55,19 @@
 func New() *Model {
 	return &Model{
 		engines: make(map[engineKey]*engine),
-		typical: make(map[string]*typical),
 		outputs: make(map[outputKey]*quantile),
 	}
 }
 
+// NewSharing returns a model in which an engine takes what it has not shown yet from a
+// typical one of its version: for planning, where an engine that just joined must not
+// look too slow to be used. As a yardstick for what is slow, New is the right one.
+func NewSharing() *Model {
+	m := New()
+	m.typical = make(map[string]*typical)
+	return m
+}
+
 // Job is the part of a request that decides how long it takes.
 type Job struct {
 	Version, Hardware string
@@ -223,7 +232,10 @@
 	e := m.engines[key]
 	if e == nil {
 		makeRoom(m.engines, maxEngines)
-		e = &engine{typical: &m.typicalOf(key.version).engine}
+		e = &engine{}
+		if m.typical != nil {
+			e.typical = &m.typicalOf(key.version).engine
+		}
 		m.engines[key] = e
 	}
 	return e
--- a/estimate/model_test.go
+++ b/estimate/model_test.go
@@ -110,3 +110,22 @@
 	assert.Assert(t, len(m.outputs) <= maxOutputs)
 	assert.Assert(t, len(m.engines) <= maxEngines)
 }
+
+// Guards against an engine that is judged by the speed of other hardware: a new version
+// on a slower generation would look slow, and its move would be reversed.
+func TestOnlySharingModelsTakeTheSpeedOfOthers(t *testing.T) {
+	unknown := Job{Version: "v", Hardware: "unknown", PrefillTokens: 8000, OutputTokens: 1, Batch: 1}
+	for _, m := range []*Model{New(), NewSharing()} {
+		for range 10 {
+			m.Observe(Observation{Job: Job{Version: "v", Hardware: "fast", PrefillTokens: 8000, OutputTokens: 10, Batch: 1},
+				FirstToken: 100 * time.Millisecond, Duration: 200 * time.Millisecond})
+		}
+		predicted := m.Predict(unknown)
+		assert.Assert(t, !predicted.Settled)
+		if m.typical == nil {
+			assert.Equal(t, predicted.FirstToken, 8000*time.Second/DefaultPrefillRate)
+			continue
+		}
+		assert.Equal(t, predicted.FirstToken.Round(time.Millisecond), 100*time.Millisecond)
+	}
+}
--- a/estimate/typical.go
+++ b/estimate/typical.go
@@ -39,6 +39,9 @@
 
 // observed notes an observation of a version.
 func (m *Model) observed(version string) {
+	if m.typical == nil {
+		return
+	}
 	t := m.typicalOf(version)
 	if t.unseen--; t.unseen > 0 {
 		return
--- a/internal/owners/duty.go
+++ b/internal/owners/duty.go
@@ -105,7 +105,7 @@
 		logger:        config.Logger,
 		detector:      outlier.New(),
 		events:        ring.New[event](ringSize),
-		model:         estimate.New(),
+		model:         estimate.NewSharing(),
 		groups:        make(map[key]*state),
 		states:        make(map[string]owner.TargetState),
 		loaded:        make(map[string][]string),
--- a/owner/types.go
+++ b/owner/types.go
@@ -216,7 +216,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.Model == nil {
-		o.Model = estimate.New()
+		o.Model = estimate.NewSharing()
 	}
 	if o.Picker == nil {
 		o.Picker = balancer.PredictedFinish{}.Build(0)
