Refuse by tier on arrival, and advise callers by the age of the overload

The check on arrival took the pace of all grants, though requests of higher tiers that arrive later go first; and a request that asked again after 120 ms was taken as the last in line.

Change: a tier is served at the pace that the higher ones leave; one that waits already keeps its place. The advice is the longest of the wait and the time that the overload has lasted, at most a third of the caller's time, spread by a quarter. A refusal for lack of a target says when to come back as well.

--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -8,6 +8,7 @@
 	"github.com/marjoramflow/marjoramflow/balancer"
 	"github.com/marjoramflow/marjoramflow/catalog"
 	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/estimate"
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/ingress"
 	"github.com/marjoramflow/marjoramflow/internal/grants"
@@ -171,6 +172,8 @@
 		Sender: g.mesh,
 		OnLost: g.reach.Check,
 		Trial:  g.trial,
+		// The platform does not tell the hardware of targets: each one is its own.
+		Model: estimate.NewSharing(),
 		Logger: g.logger,
 		// The queue is held here and not in the targets, which know no order.
 		Group: owner.Options{Picker: balancer.Timely{}.Build(0), Backlog: -1, CheckStalled: true},
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -321,6 +322,7 @@
 	}
 	refusal := AsRefusal(err)
 	refusal.Outcome = f.outcome()
+	refusal.RetryAfter = returnAfter(refusal.RetryAfter, time.Until(f.request.Deadline), rand.Float64())
 	return refusal
 }
 
--- a/entry/forward_bounds.go
+++ b/entry/forward_bounds.go
@@ -33,6 +33,22 @@
 	returnedWait = 700 * time.Millisecond
 )
 
+const (
+	// returnShare is the part of a caller's time after which it is told to come back at
+	// the latest: the rest is for its turn and its answer.
+	returnShare = 1.0 / 3
+	// returnSpread is the part by which advice is shortened at random, so that callers
+	// who were sent away together do not come back together.
+	returnSpread = 0.25
+)
+
+// returnAfter bounds and spreads the advice to a caller with some time left; random is
+// between 0 and 1.
+func returnAfter(advice, left time.Duration, random float64) time.Duration {
+	advice = min(advice, time.Duration(returnShare*float64(left)))
+	return max(0, advice-time.Duration(returnSpread*random*float64(advice)))
+}
+
 // Callers leave a stream that has brought nothing for the longest of these times.
 const (
 	minPatience       = 2 * time.Second
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -60,8 +60,9 @@
 }
 
 // NewSharing returns a model in which an engine takes what it has not shown yet from a
-// typical one of its version: for planning, where an engine that just joined must not
-// look too slow to be used. As a yardstick for what is slow, New is the right one.
+// typical one of its version: for planning where nothing is known of the hardware, and
+// an engine that just joined must not look too slow to be used. Where generations are
+// stated, they are unlike and do not share; nor does a yardstick for what is slow.
 func NewSharing() *Model {
 	m := New()
 	m.typical = make(map[string]*typical)
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -386,8 +386,14 @@
 	}}
 }
 
+// noTargetRetryAfter is the hint to callers while no target is known to be up. Targets
+// that are down are probed several times a second.
+const noTargetRetryAfter = 500 * time.Millisecond
+
 func noTarget() *entry.Refusal {
-	return entry.Refuse(http.StatusServiceUnavailable, entry.CodeNoTarget, "no target can run this request")
+	r := entry.Refuse(http.StatusServiceUnavailable, entry.CodeNoTarget, "no target can run this request")
+	r.RetryAfter = noTargetRetryAfter
+	return r
 }
 
 // expiredRetryAfter is the hint to callers whose request waited in vain.
--- a/internal/owners/duty.go
+++ b/internal/owners/duty.go
@@ -90,7 +90,9 @@
 	OnLost func(target string, running []owner.Running)
 	Trial  Trial
 	Logger *eventlog.Logger
-	// Group configures the groups; the model is the duty's own.
+	// Model predicts times. It is the duty's own from now on.
+	Model *estimate.Model
+	// Group configures the groups; their model is Model.
 	Group owner.Options
 }
 
@@ -105,7 +107,7 @@
 		logger:        config.Logger,
 		detector:      outlier.New(),
 		events:        ring.New[event](ringSize),
-		model:         estimate.NewSharing(),
+		model:         config.Model,
 		groups:        make(map[key]*state),
 		states:        make(map[string]owner.TargetState),
 		loaded:        make(map[string][]string),
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -119,7 +119,7 @@
 	t := c.targets[g.options.Picker.Pick(c.views)]
 	g.observeWait(now, j)
 	g.queue.Take(&j.item)
-	g.pace.note(now)
+	g.pace.note(now, j.request.Tier)
 	g.place(now, j, t)
 	g.decide(Grant, j, Decision{Target: t.info.Name, CachedTokens: j.cached})
 	return true
--- a/owner/firsttoken.go
+++ b/owner/firsttoken.go
@@ -58,6 +58,6 @@
 		}
 	}
 	g.observeWait(now, j)
-	g.refuse(j, ReasonExpired, retryAfter(g.queueWait(j, usable)))
+	g.refuse(j, ReasonExpired, g.shedLater(now, j, g.queueWait(j, usable)))
 	return true
 }
--- a/owner/group.go
+++ b/owner/group.go
@@ -28,8 +28,9 @@
 	preempting int
 	// rescued are waiting requests for which work was preempted.
 	rescued []*job
-	// pace is that of the grants.
-	pace pace
+	// pace is that of the grants, overload that of the refusals.
+	pace     pace
+	overload overload
 	// meanWork is the mean work of the requests granted last.
 	meanWork  time.Duration
 	nextSpeed time.Time
--- /dev/null
+++ b/owner/overload_test.go
@@ -0,0 +1,86 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// surge is a group with one target that serves ten requests a second, and more than
+// that asked of it.
+type surge struct {
+	t    *testing.T
+	g    *Group
+	now  time.Time
+	next int
+}
+
+func newSurge(t *testing.T) *surge {
+	s := &surge{t: t, g: NewGroup("s", 0, Options{Backlog: -1}), now: time.Unix(1000, 0)}
+	s.g.SetTargets(s.now, []TargetInfo{{Name: "t", Slots: 1}})
+	return s
+}
+
+// ask reserves for a request with an objective of 400 ms and returns the decision.
+func (s *surge) ask(tier int, waited time.Duration) Decision {
+	s.next++
+	r := Request{
+		ID: fmt.Sprint("r", s.next), Entry: "e", Account: "a", Tier: tier, PromptTokens: 100, OutputTokens: 10,
+		Deadline: s.now.Add(10 * time.Second), FirstTokenBy: s.now.Add(400*time.Millisecond - waited),
+		ObjectiveBy: s.now.Add(400*time.Millisecond - waited), MaxGap: time.Second, EventTokens: 6, Waited: waited,
+	}
+	for _, d := range s.g.Reserve(s.now, r) {
+		if d.ID == r.ID {
+			return d
+		}
+	}
+	s.t.Fatal("no decision")
+	return Decision{}
+}
+
+// serve ends what runs, ten times a second for a time, while a request of a tier
+// arrives each time.
+func (s *surge) serve(tier int, span time.Duration) {
+	for end := s.now.Add(span); s.now.Before(end); s.now = s.now.Add(100 * time.Millisecond) {
+		for id, j := range s.g.jobs {
+			if j.target != nil {
+				s.g.Release(s.now, Report{ID: id, Outcome: OutcomeDone})
+				break
+			}
+		}
+		s.ask(tier, 0)
+	}
+}
+
+// Guards against requests of a low tier that are held until they are late, since
+// requests of a higher tier that arrive meanwhile go first (load pattern: a surge of a
+// high tier that takes all of the capacity).
+func TestLowTierIsRefusedOnArrivalWhileAHighOneTakesAll(t *testing.T) {
+	s := newSurge(t)
+	s.serve(0, 2*time.Second)
+	assert.Equal(t, s.ask(0, 0).Kind, Queued)
+	assert.Equal(t, s.ask(1, 0).Kind, Refuse)
+	// One that waits already keeps its place by arrival.
+	assert.Equal(t, s.ask(0, 150*time.Millisecond).Kind, Queued)
+}
+
+// Guards against callers who come back into the same overload and are sent away for
+// good (load pattern: a surge of several seconds).
+func TestAdviceGrowsWithTheOverload(t *testing.T) {
+	s := newSurge(t)
+	s.serve(0, 2*time.Second)
+	s.ask(0, 0)
+	first := s.ask(1, 0)
+	assert.Equal(t, first.Kind, Refuse)
+	for range 40 {
+		s.serve(0, 100*time.Millisecond)
+		s.ask(1, 0)
+	}
+	lasting := s.ask(1, 0)
+	assert.Assert(t, lasting.RetryAfter >= 4*time.Second, "%s", lasting.RetryAfter)
+	assert.Assert(t, first.RetryAfter <= 2*time.Second, "%s", first.RetryAfter)
+	s.serve(0, 1500*time.Millisecond)
+	assert.Assert(t, s.ask(1, 0).RetryAfter <= 2*time.Second)
+}
--- a/owner/pace_test.go
+++ b/owner/pace_test.go
@@ -12,16 +12,16 @@
 func TestPaceCountsTheLastSecond(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var p pace
-	p.note(now)
-	_, known := p.perSecond(now)
+	p.note(now, 0)
+	_, _, known := p.perSecond(now, 0)
 	assert.Assert(t, !known)
 	for i := range 19 {
-		p.note(now.Add(time.Duration(i) * 25 * time.Millisecond))
+		p.note(now.Add(time.Duration(i)*25*time.Millisecond), 0)
 	}
-	rate, known := p.perSecond(now.Add(600 * time.Millisecond))
+	rate, _, known := p.perSecond(now.Add(600*time.Millisecond), 0)
 	assert.Assert(t, known)
 	assert.Equal(t, rate, 20.0)
-	_, known = p.perSecond(now.Add(3 * time.Second))
+	_, _, known = p.perSecond(now.Add(3*time.Second), 0)
 	assert.Assert(t, !known)
 }
 
--- a/owner/reserve.go
+++ b/owner/reserve.go
@@ -13,9 +13,6 @@
 	// preemptRetry is the time after which a request that still waits looks for
 	// another victim.
 	preemptRetry = 100 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the advice to callers.
-	minRetryAfter = 250 * time.Millisecond
-	maxRetryAfter = 30 * time.Second
 )
 
 // Reserve asks for a target. The decisions hold exactly one for this request: a
@@ -155,7 +152,7 @@
 		return ReasonDeadline, 0
 	}
 	if wait, late := g.turnsUpLate(now, j, usable); late {
-		return ReasonCapacity, retryAfter(wait)
+		return ReasonCapacity, g.shedLater(now, j, wait)
 	}
 	plain, wait := g.predictWait(j, usable)
 	j.wait = plain
@@ -186,7 +183,7 @@
 // it is admitted when lower-tier work can be preempted for it, else shed.
 func (g *Group) makeRoom(now time.Time, j *job, usable uint64, late time.Duration) (Reason, time.Duration) {
 	if !g.hasVictims(j, usable) {
-		return ReasonCapacity, retryAfter(late)
+		return ReasonCapacity, g.shedLater(now, j, late)
 	}
 	if !j.request.MayPreempt {
 		return ReasonPreemptionNeeded, 0
@@ -195,12 +192,6 @@
 	return ReasonNone, 0
 }
 
-// retryAfter is the advice to a caller whose request would have to wait too long
-// by some time.
-func retryAfter(tooLong time.Duration) time.Duration {
-	return max(minRetryAfter, min(tooLong, maxRetryAfter))
-}
-
 // evictBelow refuses the newest waiting request of the lowest tier, if that is
 // lower than tier. When work of a still lower tier runs that can be preempted for
 // it, that is done instead, and the queue exceeds its limit by one.
@@ -238,7 +229,7 @@
 	victims := chance != hopeless && g.hasVictims(j, usable)
 	if !now.Before(j.request.Deadline) || (!victims && g.givesUp(now, j, chance)) {
 		g.observeWait(now, j)
-		g.refuse(j, ReasonExpired, retryAfter(g.queueWait(j, usable)))
+		g.refuse(j, ReasonExpired, g.shedLater(now, j, g.queueWait(j, usable)))
 		return
 	}
 	g.queue.SetClass(&j.item, class)
--- a/owner/types.go
+++ b/owner/types.go
@@ -216,7 +216,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.Model == nil {
-		o.Model = estimate.NewSharing()
+		o.Model = estimate.New()
 	}
 	if o.Picker == nil {
 		o.Picker = balancer.PredictedFinish{}.Build(0)
