--- a/daemon/build.go
+++ b/daemon/build.go
@@ -7,7 +7,6 @@
 
 	"github.com/marjoramflow/marjoramflow/adminapi"
 	"github.com/marjoramflow/marjoramflow/entry"
-	"github.com/marjoramflow/marjoramflow/estimate"
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/frontend"
 	"github.com/marjoramflow/marjoramflow/idempotency"
@@ -189,7 +188,6 @@
 		Sender: d.mesh,
 		OnLost: d.probes.Lost,
 		Trial:  d.trial,
-		Model:  estimate.New(),
 		Logger: d.logger,
 	})
 	d.grants = grants.New(grants.Config{
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -173,7 +173,7 @@
 		OnLost: g.reach.Check,
 		Trial:  g.trial,
 		// The platform does not tell the hardware of targets: each one is its own.
-		Model: estimate.NewSharing(),
+		Model:  estimate.NewSharing(),
 		Logger: g.logger,
 		// The queue is held here and not in the targets, which know no order.
 		Group: owner.Options{Picker: balancer.Timely{}.Build(0), Backlog: -1, CheckStalled: true},
--- a/internal/owners/duty.go
+++ b/internal/owners/duty.go
@@ -81,7 +81,7 @@
 // event is one input of the duty.
 type event func(now time.Time)
 
-// Config holds the parts of a Duty. All are required.
+// Config holds the parts of a Duty. All are required but Model.
 type Config struct {
 	Self   string
 	Sender Sender
@@ -90,7 +90,7 @@
 	OnLost func(target string, running []owner.Running)
 	Trial  Trial
 	Logger *eventlog.Logger
-	// Model predicts times. It is the duty's own from now on.
+	// Model predicts times and is the duty's own from now on; nil takes a new one.
 	Model *estimate.Model
 	// Group configures the groups; their model is Model.
 	Group owner.Options
@@ -98,6 +98,9 @@
 
 // New returns a duty without groups.
 func New(config Config) *Duty {
+	if config.Model == nil {
+		config.Model = estimate.New()
+	}
 	return &Duty{
 		self:          config.Self,
 		sender:        config.Sender,
