--- a/bench/internal/cluster/cluster.go
+++ b/bench/internal/cluster/cluster.go
@@ -115,7 +115,7 @@
 		return nil, err
 	}
 	args = append([]string{"standin"}, append(args, "--listen", address)...)
-	s := &Server{Process: newProcess(c.Dir, name, c.Programs.Bench, args...), DataCentre: dataCentre, Address: address}
+	s := &Server{Process: NewProcess(c.Dir, name, c.Programs.Bench, args...), DataCentre: dataCentre, Address: address}
 	return s, s.Start()
 }
 
@@ -189,10 +189,10 @@
 
 func (c *Cluster) daemonProcess(name, path string) *Process {
 	if c.Spec.Profile == "" {
-		return newProcess(c.Dir, name, c.Programs.Daemon, "--settings", path)
+		return NewProcess(c.Dir, name, c.Programs.Daemon, "--settings", path)
 	}
 	profile := filepath.Join(c.Spec.Profile, name+".cpu")
-	return newProcess(c.Dir, name, c.Programs.Bench, "daemon", "--settings", path, "--cpu-profile", profile)
+	return NewProcess(c.Dir, name, c.Programs.Bench, "daemon", "--settings", path, "--cpu-profile", profile)
 }
 
 // daemonSettings mirrors the settings file; secrets are plain here, since the
--- a/bench/internal/cluster/naive.go
+++ b/bench/internal/cluster/naive.go
@@ -20,7 +20,7 @@
 			return nil, err
 		}
 		s := &Server{Address: address}
-		s.Process = newProcess(c.Dir, fmt.Sprintf("naive-%d", i+1), c.Programs.Bench, "naive", "--listen", address, "--engines", strings.Join(engines, ","))
+		s.Process = NewProcess(c.Dir, fmt.Sprintf("naive-%d", i+1), c.Programs.Bench, "naive", "--listen", address, "--engines", strings.Join(engines, ","))
 		s.environment = c.Spec.DaemonEnvironment
 		if err := s.Start(); err != nil {
 			return nil, err
--- a/bench/internal/cluster/process.go
+++ b/bench/internal/cluster/process.go
@@ -22,7 +22,8 @@
 	done        chan error
 }
 
-func newProcess(dir, name, program string, args ...string) *Process {
+// NewProcess describes a process that logs into a directory; Start runs it.
+func NewProcess(dir, name, program string, args ...string) *Process {
 	return &Process{Name: name, program: program, args: args, logPath: filepath.Join(dir, name+".log")}
 }
 
--- /dev/null
+++ b/bench/internal/soak/target.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Kinds of requests, by the first part of their path.
+const (
+	kindSafe   = "safe"
+	kindOnce   = "once"
+	kindStream = "stream"
+)
+
+// target is one back end. A crash closes all its connections; it comes back under a new
+// id at the same address.
+type target struct {
+	service string
+	records *records
+
+	mu      sync.Mutex
+	id      string
+	boots   int
+	address string
+	server  *http.Server
+	proxy   *proxy
+}
+
+func newTarget(service string, number int, r *records) (*target, error) {
+	t := &target{service: service, records: r, id: fmt.Sprintf("%s-%d", service, number)}
+	if err := t.start(); err != nil {
+		return nil, err
+	}
+	p, err := newProxy(t.address)
+	t.proxy = p
+	return t, err
+}
+
+// start serves at the address of the last boot, if any.
+func (t *target) start() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	address := t.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	t.address = listener.Addr().String()
+	t.boots++
+	id := fmt.Sprintf("%s-b%d", strings.SplitN(t.id, "-b", 2)[0], t.boots)
+	t.id = id
+	t.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { t.serve(w, r, id) })}
+	go func(s *http.Server) { _ = s.Serve(listener) }(t.server)
+	return nil
+}
+
+// crash ends the target with all its connections.
+func (t *target) crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.server.Close()
+	t.records.ended(t.id)
+}
+
+func (t *target) identity() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.id
+}
+
+func (t *target) serve(w http.ResponseWriter, r *http.Request, id string) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	attempt := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", attempt)
+	w.Header().Set("X-Instance-Id", id)
+	if r.URL.Path == "/health" {
+		return
+	}
+	if r.Header.Get("X-Expect-Instance") != id {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	t.records.ran(attempt, id, r, body)
+	w.Header().Set("X-Response-Signature", signature(attempt))
+	if kindOf(r.URL.Path) == kindStream {
+		t.stream(w, r, attempt)
+		return
+	}
+	time.Sleep(time.Duration(5+hash(attempt)%40) * time.Millisecond)
+	_, _ = io.WriteString(w, wholeBody(attempt))
+}
+
+// eventPause is the time between two events of a stream.
+const eventPause = 10 * time.Millisecond
+
+func (t *target) stream(w http.ResponseWriter, r *http.Request, attempt string) {
+	next := 0
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		next = last + 1
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := http.NewResponseController(w)
+	for ; next < eventCount(attempt); next++ {
+		if _, err := io.WriteString(w, event(attempt, next)); err != nil || flusher.Flush() != nil {
+			return
+		}
+		time.Sleep(eventPause)
+	}
+}
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, text)
+	return h.Sum64()
+}
+
+// signature, wholeBody, eventCount and event derive an answer from the request's id, so
+// that callers know what belongs to them.
+func signature(attempt string) string {
+	return fmt.Sprintf("%016x", hash("signature "+attempt))
+}
+
+func wholeBody(attempt string) string {
+	return strings.Repeat("answer to "+attempt+"\n", 1+int(hash(attempt)%30))
+}
+
+func eventCount(attempt string) int {
+	return 3 + int(hash("events "+attempt)%60)
+}
+
+func event(attempt string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", number, number, attempt)
+}
+
+// kindOf returns the first part of a path.
+func kindOf(path string) string {
+	kind, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return kind
+}
