Seek daemons whose session broke, and take back those that returned

The groups were asked at a daemon that does not own them.

Ruled out: the registry and probes (all targets known, none down, three other daemons served).

Change: a daemon dials a peer whose session broke, unless it leaves; a peer that is alive again after it left or died counts as live.

--- a/internal/members/duty.go
+++ b/internal/members/duty.go
@@ -155,6 +155,7 @@
 		if !up {
 			d.lost[name] = now
 			d.perform(d.table.SessionDown(now, name))
+			d.seek(name)
 			return
 		}
 		delete(d.lost, name)
@@ -226,6 +227,16 @@
 	return slices.Clone(d.view)
 }
 
+// seek dials a daemon whose session broke, unless it leaves. A daemon that was restarted
+// has no reason to dial this one, which would leave it out for good otherwise.
+func (d *Duty) seek(name string) {
+	for _, m := range d.table.Members() {
+		if m.Name == name && (m.State == membership.Alive || m.State == membership.Suspect) {
+			d.mesh.Connect(name)
+		}
+	}
+}
+
 // perform carries out the actions of the table.
 func (d *Duty) perform(actions []membership.Action) {
 	for _, action := range actions {
@@ -254,8 +265,14 @@
 		"from":   a.Previous.String(),
 		"to":     a.Member.State.String(),
 	})
-	if a.Member.State == membership.Dead {
+	switch a.Member.State {
+	case membership.Dead:
 		d.OnGone(a.Member.Name)
+	case membership.Alive:
+		if a.Previous == membership.Leaving || a.Previous == membership.Dead {
+			// The session broke with an earlier run of the daemon.
+			delete(d.lost, a.Member.Name)
+		}
 	}
 	d.setPeers()
 }
