Pass changes of the store on within a data centre

Change: the pollers of a data centre pass changed rows on, compressed, with the revision up to which a daemon must have the topic to apply them. The others make no call while they are covered; a gap, a revision that was told and did not arrive within a second, or no poller for 2.5 s sends them to the store.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -86,6 +86,8 @@
 	Manifest *Manifest
 	Instance *Instance
 	Order    *Order
+	// Raw is the row as the source keeps it, for other daemons.
+	Raw []byte
 	// Fault says why the row could not be read.
 	Fault error
 }
@@ -94,6 +96,16 @@
 type Batch struct {
 	Entries  []Entry
 	Revision uint64
+	// AfterOutage says that the source was away before: what is missing may have
+	// lapsed only.
+	AfterOutage bool
+}
+
+// Push is a batch that another daemon passed on. It is complete for a daemon that has
+// the topic up to After.
+type Push struct {
+	After uint64
+	Batch
 }
 
 // ErrHistoryLost is returned by Changes when the source no longer has the changes
@@ -107,4 +119,6 @@
 	// Changes waits at most wait for entries that changed after a revision. The
 	// batch may be empty.
 	Changes(ctx context.Context, topic Topic, after uint64, wait time.Duration) (Batch, error)
+	// Decode reads a row that another daemon passed on.
+	Decode(topic Topic, key string, revision uint64, raw []byte) Entry
 }
--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -19,9 +19,6 @@
 	// of it then, and their patience with a call of their own, is inside the time after
 	// which a daemon whose connections broke has to be up to date, 4 s.
 	changesWait = 1500 * time.Millisecond
-	// coveredWait is that time while other daemons would tell of a change that is
-	// missed. The source allows 30 s.
-	coveredWait = 25 * time.Second
 	// callSlack is added to the wait for the answer itself.
 	callSlack = 700 * time.Millisecond
 	// snapshotTimeout bounds one snapshot.
@@ -57,14 +54,15 @@
 // Peers are the other daemons that follow the same source. Its methods are safe for
 // concurrent use.
 type Peers interface {
-	// Covered reports whether a daemon that asks the source often would tell of a
-	// change that this one misses.
+	// Covered reports whether a daemon that asks the source passes changes on to this
+	// one.
 	Covered() bool
 	// Told returns the newest revision of a topic that another daemon told.
 	Told(topic Topic) uint64
-	// Answered is called after each answer of the source, with the newest revision of
-	// the topic in it; 0 is none.
-	Answered(topic Topic, revision uint64)
+	// Pushes returns the changes of a topic that other daemons pass on.
+	Pushes(topic Topic) <-chan Push
+	// Answered is called with each answer of the source; a snapshot lists everything.
+	Answered(topic Topic, batch Batch, snapshot bool)
 }
 
 // Watcher follows a source. Its methods are safe for concurrent use.
@@ -114,7 +112,7 @@
 	revision, complete, often := uint64(0), false, false
 	backoff := minRetry
 	for ctx.Err() == nil {
-		batch, err := w.read(ctx, topic, revision, complete, often)
+		batch, pushed, err := w.read(ctx, topic, revision, complete, often)
 		often = err != nil
 		switch {
 		case errors.Is(err, errRenew):
@@ -129,8 +127,10 @@
 			continue
 		}
 		backoff = minRetry
-		w.apply(time.Now(), topic, batch, !complete)
-		w.Peers.Answered(topic, newest(batch))
+		batch.AfterOutage = w.apply(time.Now(), topic, batch, !complete)
+		if !pushed {
+			w.Peers.Answered(topic, batch, !complete)
+		}
 		if complete && len(batch.Entries) > 0 {
 			pause.For(ctx, w.Interval)
 		}
@@ -139,29 +139,23 @@
 	return nil
 }
 
-// newest returns the revision of the newest entry of a batch.
-func newest(b Batch) uint64 {
-	revision := uint64(0)
-	for i := range b.Entries {
-		revision = max(revision, b.Entries[i].Revision)
-	}
-	return revision
-}
-
-// read makes one call. With often, it does not wait long: the call before has failed or
-// missed something.
-func (w *Watcher) read(ctx context.Context, topic Topic, revision uint64, complete, often bool) (Batch, error) {
+// read gets the next batch, from the source or pushed by another daemon. With often, it
+// asks the source: the call before has failed, or something was missed.
+func (w *Watcher) read(ctx context.Context, topic Topic, revision uint64, complete, often bool) (batch Batch, pushed bool, err error) {
 	switch {
 	case !complete:
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
-		return w.Source.Snapshot(ctx, topic)
+		batch, err = w.Source.Snapshot(ctx, topic)
 	case topic == Registry && w.pending():
-		return w.changes(ctx, topic, revision, returnTime/4)
+		batch, err = w.changes(ctx, topic, revision, returnTime/4)
 	case !often && w.Peers.Covered():
-		return w.coveredChanges(ctx, topic, revision)
+		batch, err = w.awaitPush(ctx, topic, revision)
+		pushed = true
+	default:
+		batch, err = w.changes(ctx, topic, revision, changesWait)
 	}
-	return w.changes(ctx, topic, revision, changesWait)
+	return batch, pushed, err
 }
 
 func (w *Watcher) changes(ctx context.Context, topic Topic, revision uint64, wait time.Duration) (Batch, error) {
@@ -201,11 +195,12 @@
 	w.Logger.EmitError(eventlog.SourceLost, err, eventlog.Fields{"topic": topic.String()})
 }
 
-// apply takes a batch. A snapshot lists everything, so what it lacks is gone.
-func (w *Watcher) apply(now time.Time, topic Topic, batch Batch, snapshot bool) {
+// apply takes a batch. A snapshot lists everything, so what it lacks is gone. It reports
+// whether the source was away before.
+func (w *Watcher) apply(now time.Time, topic Topic, batch Batch, snapshot bool) (afterOutage bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	afterOutage := !w.last[topic].IsZero() && !w.away[topic].IsZero() && now.Sub(w.away[topic]) > changesWait+outageTime
+	afterOutage = batch.AfterOutage || !w.last[topic].IsZero() && !w.away[topic].IsZero() && now.Sub(w.away[topic]) > changesWait+outageTime
 	w.last[topic], w.away[topic] = now, time.Time{}
 	if w.lost[topic] {
 		w.lost[topic] = false
@@ -229,6 +224,7 @@
 	if changed {
 		w.install()
 	}
+	return afterOutage
 }
 
 // take applies one entry and says whether the set may have changed.
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -77,6 +77,8 @@
 		DataCentre: g.settings.DataCentre,
 		Here:       g.liveHere,
 		Send:       func(to string, m *peerpb.Envelope) error { return g.mesh.Send(to, m) },
+		Decode:     g.store.Decode,
+		Logger:     g.logger,
 	})
 	g.watcher = catalog.NewWatcher(catalog.WatcherConfig{
 		Source:  g.store,
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -71,7 +71,7 @@
 	EntryRefused:        {logrus.WarnLevel, "entry of the platform's store cannot be read and is skipped"},
 	SourceLost:          {logrus.WarnLevel, "platform's store does not answer; the last picture stays in force"},
 	SourceBack:          {logrus.InfoLevel, "platform's store answers again"},
-	SourceRenewed:       {logrus.InfoLevel, "call for changes was given up and is made anew"},
+	SourceRenewed:       {logrus.InfoLevel, "store is asked for changes that no other daemon passed on"},
 	SessionUp:           {logrus.InfoLevel, "session with a peer is up"},
 	SessionDown:         {logrus.WarnLevel, "session with a peer ended"},
 	MemberChanged:       {logrus.InfoLevel, "member changed its state"},
--- a/internal/pollers/pollers.go
+++ b/internal/pollers/pollers.go
@@ -1,9 +1,9 @@
 // Package pollers spares the platform's store: in each data centre, a few daemons ask
-// it for changes often and tell the others which revisions they have seen. The others
-// ask seldom, and ask at once when they hear of a revision that they lack.
+// it for changes and pass them on to the others, which ask it themselves only while
+// nobody passes anything on, or when they hear of a revision that they lack.
 //
 // The pollers are the first live daemons by rank, so that all agree on them without a
-// message. A poller whose calls fail falls silent, and the others ask often themselves.
+// message. A poller whose calls fail falls silent.
 package pollers
 
 import (
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/catalog"
+	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/rendezvous"
 )
@@ -31,6 +32,12 @@
 	coverTime = 2500 * time.Millisecond
 	// topicCount is the number of topics of a source.
 	topicCount = 2
+	// pushBuffer bounds the pushes that wait to be applied; what does not fit is read
+	// from the store.
+	pushBuffer = 16
+	// maxPushBytes bounds the rows of one push once they are unpacked, four times the
+	// largest transaction of the store.
+	maxPushBytes = 4 << 20
 )
 
 // Config holds the parts of a Duty. All are required.
@@ -40,11 +47,15 @@
 	// Here returns the live daemons of the own data centre, this one included.
 	Here func() []string
 	Send func(to string, m *peerpb.Envelope) error
+	// Decode reads a row that another daemon passed on.
+	Decode func(topic catalog.Topic, key string, revision uint64, raw []byte) catalog.Entry
+	Logger *eventlog.Logger
 }
 
 // Duty implements catalog.Peers. Its methods are safe for concurrent use.
 type Duty struct {
 	Config
+	pushes [topicCount]chan catalog.Push
 
 	mu sync.Mutex
 	// heard is when a poller told its revisions last.
@@ -56,7 +67,11 @@
 
 // New returns a duty that has heard of nobody.
 func New(config Config) *Duty {
-	return &Duty{Config: config}
+	d := &Duty{Config: config}
+	for i := range d.pushes {
+		d.pushes[i] = make(chan catalog.Push, pushBuffer)
+	}
+	return d
 }
 
 // Run tells the others the revisions that this daemon has seen, while it is a poller,
@@ -76,8 +91,7 @@
 
 // tell sends the revisions to the other daemons of the data centre.
 func (d *Duty) tell(now time.Time) {
-	here := d.Here()
-	if !d.polls(here) || !d.follows(now) {
+	if !d.polls(d.Here()) || !d.follows(now) {
 		return
 	}
 	d.mu.Lock()
@@ -86,9 +100,14 @@
 		Registry: d.seen[catalog.Registry],
 	}}}
 	d.mu.Unlock()
-	for _, name := range here {
+	d.toOthers(message)
+}
+
+// toOthers sends a message to the other daemons of the data centre. One that it does not
+// reach asks the store itself.
+func (d *Duty) toOthers(message *peerpb.Envelope) {
+	for _, name := range d.Here() {
 		if name != d.Self {
-			// A daemon that hears of no poller asks the store itself.
 			_ = d.Send(name, message)
 		}
 	}
@@ -112,17 +131,20 @@
 	return true
 }
 
-// OnMessage takes the revisions of a poller. It says whether the message was one.
+// OnMessage takes what a poller tells. It says whether the message was from one.
 func (d *Duty) OnMessage(m *peerpb.Envelope) bool {
-	body, ok := m.Body.(*peerpb.Envelope_SourceRevision)
-	if !ok {
+	switch body := m.Body.(type) {
+	case *peerpb.Envelope_SourceRevision:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.heard = time.Now()
+		d.told[catalog.Operator] = max(d.told[catalog.Operator], body.SourceRevision.Operator)
+		d.told[catalog.Registry] = max(d.told[catalog.Registry], body.SourceRevision.Registry)
+	case *peerpb.Envelope_SourceChanges:
+		d.takePush(body.SourceChanges)
+	default:
 		return false
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.heard = time.Now()
-	d.told[catalog.Operator] = max(d.told[catalog.Operator], body.SourceRevision.Operator)
-	d.told[catalog.Registry] = max(d.told[catalog.Registry], body.SourceRevision.Registry)
 	return true
 }
 
@@ -141,15 +163,25 @@
 	return d.told[topic]
 }
 
-// Answered implements catalog.Peers. A poller tells a new revision at once.
-func (d *Duty) Answered(topic catalog.Topic, revision uint64) {
+// Pushes implements catalog.Peers.
+func (d *Duty) Pushes(topic catalog.Topic) <-chan catalog.Push {
+	return d.pushes[topic]
+}
+
+// Answered implements catalog.Peers. A poller passes changes on at once.
+func (d *Duty) Answered(topic catalog.Topic, batch catalog.Batch, snapshot bool) {
 	now := time.Now()
+	revision := newest(batch)
 	d.mu.Lock()
 	d.answered[topic] = now
-	news := revision > d.seen[topic]
-	d.seen[topic] = max(d.seen[topic], revision)
+	after := d.seen[topic]
+	d.seen[topic] = max(after, revision)
 	d.mu.Unlock()
-	if news {
-		d.tell(now)
+	if revision <= after {
+		return
+	}
+	if !snapshot && d.polls(d.Here()) {
+		d.push(topic, after, revision, batch)
 	}
+	d.tell(now)
 }
