Use three pollers and let a failed call silence a poller at once

A change must not wait for pollers that the store turns away: trouble often takes the store from a third of the daemons. Data centres of up to three daemons work as before, each daemon asks for itself. A daemon is uncovered 1.2 s after the last message instead of 2.5 s, and calls wait 2.5 s again, since what the pollers see is passed on at once.

--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -15,10 +15,9 @@
 
 const (
 	// changesWait is the time that one call for changes waits at the source. A
-	// connection that has gone silent is noticed callSlack later. What others are told
-	// of it then, and their patience with a call of their own, is inside the time after
+	// connection that has gone silent is noticed callSlack later, inside the time after
 	// which a daemon whose connections broke has to be up to date, 4 s.
-	changesWait = 1500 * time.Millisecond
+	changesWait = 2500 * time.Millisecond
 	// callSlack is added to the wait for the answer itself.
 	callSlack = 700 * time.Millisecond
 	// snapshotTimeout bounds one snapshot.
@@ -63,6 +62,8 @@
 	Pushes(topic Topic) <-chan Push
 	// Answered is called with each answer of the source; a snapshot lists everything.
 	Answered(topic Topic, batch Batch, snapshot bool)
+	// Failed is called when the source did not answer.
+	Failed(topic Topic)
 }
 
 // Watcher follows a source. Its methods are safe for concurrent use.
@@ -122,6 +123,7 @@
 			continue
 		case err != nil:
 			w.failed(ctx, topic, err)
+			w.Peers.Failed(topic)
 			pause.For(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxRetry)
 			continue
--- a/internal/pollers/pollers.go
+++ b/internal/pollers/pollers.go
@@ -19,17 +19,18 @@
 )
 
 const (
-	// perDataCentre is the number of pollers in a data centre; one may fail.
-	perDataCentre = 2
+	// perDataCentre is the number of pollers in a data centre: trouble often takes the
+	// store from a third of the daemons at once, and a change must not wait for that.
+	perDataCentre = 3
 	// tellInterval is the time between two messages of a poller without a change.
-	tellInterval = time.Second
+	tellInterval = 500 * time.Millisecond
 	// answerAge is the age of the last answer above which a poller falls silent: its
-	// calls last up to 2.2 s.
-	answerAge = 2500 * time.Millisecond
-	// coverTime is the time after the last message for which a daemon counts as
-	// covered. With the 250 ms in which it notices, a daemon whose connections all went
-	// silent asks anew within the 4 s after which it has to be up to date.
-	coverTime = 2500 * time.Millisecond
+	// calls last up to 3.2 s. After a call that failed, it is silent at once.
+	answerAge = 3500 * time.Millisecond
+	// coverTime is the time after the last message for which a daemon counts as covered:
+	// two messages may be late, and a change that nobody passes on is still in force
+	// within 2.5 s.
+	coverTime = 1200 * time.Millisecond
 	// topicCount is the number of topics of a source.
 	topicCount = 2
 	// pushBuffer bounds the pushes that wait to be applied; what does not fit is read
@@ -185,3 +186,10 @@
 	}
 	d.tell(now)
 }
+
+// Failed implements catalog.Peers.
+func (d *Duty) Failed(topic catalog.Topic) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answered[topic] = time.Time{}
+}
