Share the loop of periodic duties and the wait that ends with its context

The loop of a duty that acts at an interval stood five times and the wait three times; internal/pause holds both now.

--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/estimate"
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/retry"
 	"github.com/marjoramflow/marjoramflow/rollout"
@@ -114,12 +115,7 @@
 	return h.hedger.TryHedge(time.Now(), budget, r)
 }
 
-// pause waits, but not beyond the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+// sleep waits, but not beyond the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	pause.For(ctx, d)
 }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -208,7 +208,7 @@
 		Suspects: d.suspects,
 		Retries:  budgets,
 		Hedges:   hedges{hedger: retry.NewHedger(), retries: budgets},
-		Pause:    pause,
+		Pause:    sleep,
 	})
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -175,7 +175,7 @@
 
 func (d *Daemon) sweepKeys(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, sweepInterval)
+		sleep(ctx, sweepInterval)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -191,7 +191,7 @@
 
 func (d *Daemon) rotateMetrics(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, rotateInterval)
+		sleep(ctx, rotateInterval)
 		d.metrics.Rotate()
 	}
 	return nil
@@ -285,6 +285,6 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Limits.Drain+d.settings.Limits.Shutdown)
 	defer cancel()
 	d.members.Leave(ctx)
-	pause(ctx, d.settings.Limits.Drain)
+	sleep(ctx, d.settings.Limits.Drain)
 	return d.frontend.Shutdown(ctx)
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -241,6 +241,6 @@
 		g.logger.EmitError(eventlog.PlatformUnavailable, err, nil)
 	}
 	g.members.Leave(ctx)
-	pause(ctx, lingerWhileStopping)
+	sleep(ctx, lingerWhileStopping)
 	return g.front.Shutdown(ctx)
 }
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -196,7 +196,7 @@
 		Suspects:  g.suspects,
 		Retries:   g.retries,
 		Forwarder: g.targets,
-		Pause:     pause,
+		Pause:     sleep,
 	})
 }
 
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/ratelimit"
@@ -105,16 +106,7 @@
 
 // run reports demand and divides limits until the context ends.
 func (l *limits) run(ctx context.Context) error {
-	ticker := time.NewTicker(limitInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			l.tick(now)
-		}
-	}
+	return pause.Every(ctx, limitInterval, l.tick)
 }
 
 func (l *limits) tick(now time.Time) {
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -102,7 +102,7 @@
 			return
 		}
 		o.logger.EmitError(eventlog.PlatformUnavailable, err, nil)
-		pause(ctx, orderRetryPause)
+		sleep(ctx, orderRetryPause)
 	}
 }
 
@@ -146,7 +146,7 @@
 	o.waiting = nil
 	o.mu.Unlock()
 	for ctx.Err() == nil {
-		pause(ctx, statusInterval)
+		sleep(ctx, statusInterval)
 		o.report(ctx)
 	}
 	o.tasks.Wait()
--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/ratelimit"
@@ -150,16 +151,7 @@
 
 // Run follows the live daemons until the context ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			d.tick(now)
-		}
-	}
+	return pause.Every(ctx, tickInterval, d.tick)
 }
 
 func (d *Duty) tick(now time.Time) {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause waits for a time or for the end of a context.
+// Package pause waits for times or for the end of a context.
 package pause
 
 import (
@@ -18,3 +18,19 @@
 		return true
 	}
 }
+
+// Every calls do at an interval until the context ends, not at the start. A call that
+// takes longer delays the next one. It returns nil, as the duty of a goroutine does that
+// ends with its context.
+func Every(ctx context.Context, interval time.Duration, do func(now time.Time)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			do(now)
+		}
+	}
+}
--- a/internal/pollers/pollers.go
+++ b/internal/pollers/pollers.go
@@ -14,6 +14,7 @@
 
 	"github.com/marjoramflow/marjoramflow/catalog"
 	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/rendezvous"
 )
@@ -78,16 +79,7 @@
 // Run tells the others the revisions that this daemon has seen, while it is a poller,
 // until the context ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tellInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			d.tell(now)
-		}
-	}
+	return pause.Every(ctx, tellInterval, d.tell)
 }
 
 // tell sends the revisions to the other daemons of the data centre.
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/quarantine"
@@ -171,25 +172,18 @@
 
 // Run advances the book and writes convictions until the context ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			d.mu.Lock()
-			notices := d.book.Tick(now)
-			d.mu.Unlock()
-			d.tell(notices)
-		}
-	}
+	return pause.Every(ctx, tickInterval, func(now time.Time) {
+		d.mu.Lock()
+		notices := d.book.Tick(now)
+		d.mu.Unlock()
+		d.tell(notices)
+	})
 }
 
 // RunStore reads the convictions of the table once and writes new ones.
 func (d *Duty) RunStore(ctx context.Context) error {
 	for !d.load(ctx) {
-		if !wait(ctx, storePause) {
+		if !pause.For(ctx, storePause) {
 			return nil
 		}
 	}
@@ -199,7 +193,7 @@
 			return nil
 		}
 		for !d.save(ctx, notice) {
-			if !wait(ctx, storePause) {
+			if !pause.For(ctx, storePause) {
 				return nil
 			}
 		}
@@ -249,17 +243,6 @@
 	return err == nil
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 var wireStates = map[quarantine.State]peerpb.SuspicionState{
 	quarantine.Clear:     peerpb.SuspicionState_SUSPICION_CLEARED,
 	quarantine.Suspect:   peerpb.SuspicionState_SUSPICION_SUSPECT,
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 )
 
 const (
@@ -209,16 +211,7 @@
 
 // Run closes idle connections whose time is over until the context ends.
 func (p *Pool) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			p.sweep(now)
-		}
-	}
+	return pause.Every(ctx, sweepInterval, p.sweep)
 }
 
 // sweepInterval is short against the idle timeouts of targets.
