--- a/estimate/typical.go
+++ b/estimate/typical.go
@@ -1,6 +1,9 @@
 package estimate
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // typicalRefresh is the number of observations of a version after which its typical
 // engine is computed again: a few for each engine of a group of eight.
@@ -71,14 +74,6 @@
 	if len(seen) == 0 {
 		return tracker{}
 	}
-	slices.SortFunc(seen, func(a, b *tracker) int {
-		switch {
-		case a.log < b.log:
-			return -1
-		case a.log > b.log:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(seen, func(a, b *tracker) int { return cmp.Compare(a.log, b.log) })
 	return *seen[len(seen)/2]
 }
