Give the daemons of a soak addresses that nobody else takes

It could not bind its address at the start: another soak on the machine had been given the same port for an outgoing connection, after the port had been probed as free. A fault of the harness.

Change: fixed ports below the range of outgoing connections, on a loopback address of the process.

--- a/bench/internal/soak/world.go
+++ b/bench/internal/soak/world.go
@@ -96,10 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ports, err := freeAddresses(4)
-	if err != nil {
-		return nil, err
-	}
+	listen := addresses(len(w.daemons), 4)
 	place := []string{"a", "b"}[len(w.daemons)%2]
 	text := fmt.Sprintf(`name: %s
 dataCentre: %s
@@ -119,27 +116,32 @@
   limitOverage: 0.1
   limitSlack: 140000
   applyWithin: 2500ms
-`, name, place, ports[0], ports[1], store.address(), ports[2], ports[3], grace)
+`, name, place, listen[0], listen[1], store.address(), listen[2], listen[3], grace)
 	path := filepath.Join(dir, name+".yaml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
 	process := cluster.NewProcess(dir, name, program, "--settings", path)
-	return &daemon{Process: process, callers: ports[0], ready: ports[2], store: store}, nil
+	return &daemon{Process: process, callers: listen[0], ready: listen[2], store: store}, nil
 }
 
-// freeAddresses returns loopback addresses that nobody listens on now.
-func freeAddresses(count int) ([]string, error) {
-	var out []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
+const (
+	// firstPort is below the ports that the kernel gives to outgoing connections, one of
+	// which could take the address of a daemon while it is down.
+	firstPort = 20_000
+	// portsPerDaemon leaves room between daemons.
+	portsPerDaemon = 10
+)
+
+// addresses returns the addresses of a daemon, on a loopback address of this process:
+// several soaks may run on one machine.
+func addresses(number, count int) []string {
+	pid := os.Getpid()
+	out := make([]string, count)
+	for i := range out {
+		out[i] = fmt.Sprintf("127.%d.%d.1:%d", 64+pid%64, 1+pid/64%250, firstPort+portsPerDaemon*number+i)
 	}
-	return out, nil
+	return out
 }
 
 // write commits rows of a table, again and again until the store acknowledges.
