Renew a target's plan once a call, and only while it seems to read prompts

The plan was computed again at each end of a request, which costs a sort and a prediction for each request in flight. A target that has read its prompts by its plan has nothing to renew.

--- a/owner/group.go
+++ b/owner/group.go
@@ -226,6 +226,7 @@
 // finish grants what has room, handles timers and returns the decisions of the
 // call.
 func (g *Group) finish(now time.Time) []Decision {
+	g.replanAll(now)
 	g.refreshSpeeds(now)
 	g.handleTimers(now)
 	g.dispatch(now)
@@ -272,9 +273,8 @@
 	if j.preempting {
 		g.preempting--
 	}
-	t := j.target
-	t.remove(j)
-	g.replanPrefill(t)
+	j.target.left = true
+	j.target.remove(j)
 }
 
 // refuse drops a job and tells its entry.
--- a/owner/prefill.go
+++ b/owner/prefill.go
@@ -8,6 +8,17 @@
 	"github.com/marjoramflow/marjoramflow/estimate"
 )
 
+// replanAll renews the plans of the targets that still seem to read prompts and where a
+// request ended in this call.
+func (g *Group) replanAll(now time.Time) {
+	for _, t := range g.targets {
+		if t.left && t.prefillEnd.After(now) {
+			g.replanPrefill(t)
+		}
+		t.left = false
+	}
+}
+
 // replanPrefill predicts anew when a target has read the prompts of the requests in
 // flight there, after one of them ended. Prompts are read in the order of arrival.
 //
--- a/owner/target.go
+++ b/owner/target.go
@@ -24,6 +24,8 @@
 	suspects   int
 	// prefillEnd is the predicted time at which all prefill granted so far ends.
 	prefillEnd time.Time
+	// left is set when a request has ended here and the plan is to be renewed.
+	left bool
 	// reported is the load that the target told last.
 	reported int
 	// speed is the decode speed relative to the reference target of the group.
