Let a new poller push from the revision that it took from others

A daemon that took pushes and then became a poller remembered only what it had read itself, so its first push claimed to be complete from an older revision; a daemon in between would have skipped changes of the registry. What was taken counts now. TestNewPollerPushesBehindWhatItTook fails without it (by reading: seen would be 5).

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -162,6 +162,7 @@
 func (alone) Told(Topic) uint64           { return 0 }
 func (alone) Pushes(Topic) <-chan Push    { return nil }
 func (alone) Answered(Topic, Batch, bool) {}
+func (alone) Took(Topic, uint64)          {}
 func (alone) Failed(Topic)                {}
 
 // watch starts a watcher and returns the last set that it installed.
--- a/catalog/covered_test.go
+++ b/catalog/covered_test.go
@@ -56,6 +56,7 @@
 
 func (o *others) Pushes(Topic) <-chan Push    { return o.pushes }
 func (o *others) Answered(Topic, Batch, bool) {}
+func (o *others) Took(Topic, uint64)          {}
 func (o *others) Failed(Topic)                {}
 
 func (o *others) set(change func()) {
--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -62,6 +62,8 @@
 	Pushes(topic Topic) <-chan Push
 	// Answered is called with each answer of the source; a snapshot lists everything.
 	Answered(topic Topic, batch Batch, snapshot bool)
+	// Took is called when a push was applied, with its revision.
+	Took(topic Topic, revision uint64)
 	// Failed is called when the source did not answer.
 	Failed(topic Topic)
 }
@@ -130,7 +132,9 @@
 		}
 		backoff = minRetry
 		batch.AfterOutage = w.apply(time.Now(), topic, batch, !complete)
-		if !pushed {
+		if pushed {
+			w.Peers.Took(topic, batch.Revision)
+		} else {
 			w.Peers.Answered(topic, batch, !complete)
 		}
 		if complete && len(batch.Entries) > 0 {
--- a/internal/pollers/pollers.go
+++ b/internal/pollers/pollers.go
@@ -179,6 +179,14 @@
 	d.tell(now)
 }
 
+// Took implements catalog.Peers. When this daemon becomes a poller, its first push begins
+// behind what it took from others.
+func (d *Duty) Took(topic catalog.Topic, revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seen[topic] = max(d.seen[topic], revision)
+}
+
 // Failed implements catalog.Peers.
 func (d *Duty) Failed(topic catalog.Topic) {
 	d.mu.Lock()
--- a/internal/pollers/pollers_test.go
+++ b/internal/pollers/pollers_test.go
@@ -103,6 +103,18 @@
 	})
 }
 
+// Guards against a new poller whose first push claims to be complete from a revision
+// before those that it took from others: a daemon in between would skip changes.
+func TestNewPollerPushesBehindWhatItTook(t *testing.T) {
+	inMesh(t, func(m *mesh, ranked []string) {
+		d := m.duties[ranked[0]]
+		answer(d, 3, 5)
+		d.Took(catalog.Registry, 20)
+		d.Answered(catalog.Registry, batch(21), false)
+		assert.Equal(t, (<-m.duties[ranked[4]].Pushes(catalog.Registry)).After, uint64(20))
+	})
+}
+
 // Guards against a push that cannot be read, or unpacks without end.
 func TestUnreadablePushIsDropped(t *testing.T) {
 	inMesh(t, func(m *mesh, ranked []string) {
