Hold the first messages to a peer until its session is up

Cause: Send refused a message while the first session with a peer was being dialled. A first request to an owner fell to other groups, and a first lease of a limit to the daemon's own part of it, in which a long request does not fit.

Ruled out: membership (converged 10 s before traffic), buckets that start nearly empty (they had 14 s to fill).

A failed dial or a broken session says so at once, as before.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -159,6 +159,7 @@
 			m.pause(m.redialDelay(r.name))
 			continue
 		}
+		m.noteFailedDial(r)
 		if backoff == minBackoff {
 			// Further failures of the same peer are not logged.
 			m.logRefused(err, address.Name)
@@ -181,6 +182,16 @@
 	return r.address, r.current, true
 }
 
+// noteFailedDial drops what waits for the session, unless the peer has dialled this
+// daemon meanwhile.
+func (m *Mesh) noteFailedDial(r *remote) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r.current == nil {
+		r.early.dialFailed()
+	}
+}
+
 func (m *Mesh) waitEnd(s *session) bool {
 	select {
 	case <-s.ended:
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -115,6 +115,8 @@
 	// dialling is true while a dial loop runs for the peer.
 	dialling bool
 	current  *session
+	// early holds messages for the first session.
+	early early
 	// lastEnded is the ended channel of the newest session.
 	lastEnded <-chan struct{}
 }
@@ -248,7 +250,8 @@
 }
 
 // Send queues a message for a peer and never blocks. The message must not be
-// changed afterwards. It returns ErrNoSession, ErrQueueFull or ErrClosed when
+// changed afterwards. While a listed peer is dialled, its messages wait for the
+// session for a moment. It returns ErrNoSession, ErrQueueFull or ErrClosed when
 // the message was not queued; nil does not mean that it was delivered.
 func (m *Mesh) Send(to string, message *peerpb.Envelope) error {
 	if to == m.config.Self.Name {
@@ -267,9 +270,7 @@
 		return ErrNoSession
 	}
 	if r.current == nil {
-		r.wanted = r.dialable
-		m.startDialling(r)
-		return ErrNoSession
+		return m.sendEarly(r, message)
 	}
 	if !r.current.out.TryPush(message) {
 		m.stats.refused.Add(1)
@@ -278,6 +279,17 @@
 	return nil
 }
 
+// sendEarly dials a peer and holds its message until the first session is up. A peer
+// whose session broke counts as unreachable at once. The caller holds mu.
+func (m *Mesh) sendEarly(r *remote, message *peerpb.Envelope) error {
+	r.wanted = r.dialable
+	m.startDialling(r)
+	if !r.dialable || r.lastEnded != nil {
+		return ErrNoSession
+	}
+	return r.early.hold(time.Now(), message)
+}
+
 // Sessions lists the sessions that are up, by name.
 func (m *Mesh) Sessions() []SessionInfo {
 	m.mu.Lock()
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -292,17 +292,51 @@
 	assert.Equal(t, a.Stats().WireOut, uint64(0))
 }
 
-// Guards against a Send that does not start dialling, and against dials to
-// names that are not listed.
-func TestSendWithoutSessionDials(t *testing.T) {
+// Guards against a Send that does not start dialling, against dials to names that are
+// not listed, and against the loss of the first messages to a peer: with hundreds of
+// daemons, most first requests of a day meet an owner without a session.
+func TestFirstMessagesWaitForTheSession(t *testing.T) {
 	a, b := newNode(t, "a"), newNode(t, "b")
 	assert.ErrorIs(t, a.Send("b", text("x")), ErrNoSession)
 	a.SetPeers([]Address{b.address()})
-	assert.ErrorIs(t, a.Send("b", text("x")), ErrNoSession)
-	waitFor(t, 3*time.Second, "the session is up", func() bool { return a.has("b") })
+	assert.NilError(t, a.Send("b", text("1")))
+	assert.NilError(t, a.Send("b", text("2")))
+	waitFor(t, 3*time.Second, "both messages arrive", func() bool { return len(b.messages("a")) == 2 })
+	assert.Assert(t, a.has("b"))
 	assert.ErrorIs(t, a.Send("c", text("x")), ErrNoSession)
 }
 
+// Guards against a peer that cannot be reached and that senders wait for again and
+// again: once a dial failed or its session broke, Send says so at once.
+func TestUnreachablePeerHoldsNoMessages(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	a.SetPeers([]Address{{Name: "gone", Address: "127.0.0.1:1"}, b.address()})
+	assert.NilError(t, a.Send("gone", text("x")))
+	waitFor(t, 3*time.Second, "the failed dial is known", func() bool {
+		return errors.Is(a.Send("gone", text("x")), ErrNoSession)
+	})
+	a.Connect("b")
+	waitFor(t, 3*time.Second, "the session is up", func() bool { return a.has("b") })
+	b.Close()
+	waitFor(t, 3*time.Second, "the broken session is known", func() bool { return !a.has("b") })
+	assert.ErrorIs(t, a.Send("b", text("x")), ErrNoSession)
+}
+
+// Guards against stale messages that reach a peer whose session took long, and against
+// memory that grows with the messages to a silent one.
+func TestEarlyMessagesAreBounded(t *testing.T) {
+	start := time.Now()
+	var e early
+	for range maxEarly {
+		assert.NilError(t, e.hold(start, text("x")))
+	}
+	assert.ErrorIs(t, e.hold(start, text("x")), ErrQueueFull)
+	assert.ErrorIs(t, e.hold(start.Add(earlyAge+1), text("x")), ErrNoSession)
+	assert.Equal(t, len(e.take(start.Add(earlyAge+1))), 0)
+	assert.NilError(t, e.hold(start, text("x")))
+	assert.Equal(t, len(e.take(start.Add(earlyAge))), 1)
+}
+
 // Guards against a daemon that reached another one at a reused address and
 // takes it for the peer that it dialled.
 func TestOtherNameAtAddressIsRefused(t *testing.T) {
--- a/peer/session.go
+++ b/peer/session.go
@@ -100,6 +100,9 @@
 	}
 	s.predecessor = r.lastEnded
 	r.current, r.lastEnded = s, s.ended
+	for _, message := range r.early.take(s.since) {
+		s.out.TryPush(message)
+	}
 	if old != nil {
 		old.close(errReplaced)
 	}
