Bound the memory of answers and bodies, and end bytes without end

Change: package bytebudget gives each message a part of one budget that shrinks as more of them grow, so that an ordinary answer always finds room. What exceeds its part is cut and counts as a failure of the target. Events without a number are passed on up to 64 KiB in a row.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/attempt"
+	"github.com/marjoramflow/marjoramflow/bytebudget"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/quarantine"
 	"github.com/marjoramflow/marjoramflow/retry"
@@ -43,6 +44,8 @@
 	Hedges   Hedges
 	// Forwarder sends opaque requests to targets.
 	Forwarder Forwarder
+	// AnswerMemory bounds the answers that are held; nil is no bound.
+	AnswerMemory *bytebudget.Budget
 	// Pause waits before a retry; it returns early when the context ends.
 	Pause func(ctx context.Context, d time.Duration)
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/attempt"
+	"github.com/marjoramflow/marjoramflow/bytebudget"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/retry"
 )
@@ -45,7 +45,9 @@
 	started   bool
 	// held is the last whole failure of a target.
 	held *heldAnswer
-	gone error
+	// holding is the memory of the answer.
+	holding *bytebudget.Holding
+	gone    error
 	// lastPassed is when the last event went to the caller.
 	lastPassed time.Time
 	trace      Trace
@@ -70,7 +72,9 @@
 		suspect:   suspect,
 		lastEvent: r.ResumeAfter,
 		version:   e.Versions.Pick(r.Service),
+		holding:   e.AnswerMemory.Hold(),
 	}
+	defer f.holding.Release()
 	err := f.runToEnd(ctx)
 	return f.trace, err
 }
@@ -181,7 +185,8 @@
 // can be repeated or replaced by an error.
 func (f *forward) whole(ctx context.Context, reply *Reply, target string, started time.Time) error {
 	reply.Body.SetReadDeadline(f.firstByteBy(started))
-	body, err := readWhole(reply)
+	f.releaseHeld()
+	body, err := f.readWhole(reply)
 	if err != nil {
 		return fail(readFailure(ctx, err), target, reply.Status, err)
 	}
@@ -210,16 +215,22 @@
 	return false
 }
 
-func readWhole(reply *Reply) ([]byte, error) {
-	var b bytes.Buffer
-	if reply.Length > 0 && reply.Length < maxAnswerBytes {
-		b.Grow(int(reply.Length) + bytes.MinRead)
-	}
-	n, err := b.ReadFrom(io.LimitReader(reply.Body, maxAnswerBytes+1))
-	if err == nil && n > maxAnswerBytes {
+// readWhole reads a body into memory that is charged to the request until its end.
+func (f *forward) readWhole(reply *Reply) ([]byte, error) {
+	body, err := f.holding.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1), reply.Length)
+	if err == nil && len(body) > maxAnswerBytes {
 		err = fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes)
 	}
-	return b.Bytes(), err
+	if err != nil {
+		f.holding.Release()
+	}
+	return body, err
+}
+
+// releaseHeld drops a held answer of an earlier attempt with its memory.
+func (f *forward) releaseHeld() {
+	f.held = nil
+	f.holding.Release()
 }
 
 // readFailure classifies a body that could not be read to its end.
--- a/entry/forward_bounds.go
+++ b/entry/forward_bounds.go
@@ -20,6 +20,10 @@
 	safeCallWait = 800 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is held until it is whole.
 	maxAnswerBytes = 8 << 20
+	// maxUnnumberedBytes bounds comments and other events without a number in a row. A
+	// target in trouble may send them without end, and a caller would take them for
+	// progress.
+	maxUnnumberedBytes = 64 << 10
 )
 
 const (
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -15,11 +15,14 @@
 	errTargetRefused = errors.New("the target did not run the request")
 	errTargetFailed  = errors.New("the target answered with a failure")
 	errEventGap      = errors.New("events of the stream are missing")
+	errNoEvents      = errors.New("the stream brings bytes without a numbered event")
 )
 
 // stream passes whole events on as they arrive.
 func (f *forward) stream(reply *Reply, target string, report *Report, started time.Time, doubt *time.Timer) error {
-	events := eventstream.NewReader(reply.Body)
+	events := eventstream.NewReader(reply.Body, f.holding.Grow)
+	defer f.holding.Release()
+	unnumbered := 0
 	reply.Body.SetReadDeadline(f.firstByteBy(started))
 	for {
 		event, err := events.Next()
@@ -30,6 +33,9 @@
 		if err != nil {
 			return fail(readFailure(context.Background(), err), target, reply.Status, err)
 		}
+		if unnumbered = countUnnumbered(unnumbered, event); unnumbered > maxUnnumberedBytes {
+			return fail(attempt.Cut, target, reply.Status, errNoEvents)
+		}
 		if report.FirstToken == 0 {
 			report.FirstToken = time.Since(started)
 			doubt.Stop()
@@ -41,6 +47,14 @@
 	}
 }
 
+// countUnnumbered counts the bytes since the last event with a number.
+func countUnnumbered(bytes int, event eventstream.Event) int {
+	if event.HasID {
+		return 0
+	}
+	return bytes + len(event.Raw)
+}
+
 // endStream ends an answer. A stream without any event is passed on as it is.
 func (f *forward) endStream(reply *Reply) error {
 	if f.started {
--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -30,11 +30,17 @@
 type Reader struct {
 	lines *bufio.Reader
 	raw   []byte
+	// grow asks for the memory of a larger event before it is allocated.
+	grow func(bytes int64) error
 }
 
-// NewReader returns a reader of events.
-func NewReader(r io.Reader) *Reader {
-	return &Reader{lines: bufio.NewReaderSize(r, 2<<10)}
+// NewReader returns a reader of events. Grow is asked for the memory of events that are
+// larger than all before; an error ends the stream. Nil grants everything.
+func NewReader(r io.Reader, grow func(bytes int64) error) *Reader {
+	if grow == nil {
+		grow = func(int64) error { return nil }
+	}
+	return &Reader{lines: bufio.NewReaderSize(r, 2<<10), grow: grow}
 }
 
 // Next returns the next whole event. The error is io.EOF at the end of the stream
@@ -44,9 +50,8 @@
 	r.raw = r.raw[:0]
 	for {
 		line, err := r.lines.ReadSlice('\n')
-		r.raw = append(r.raw, line...)
-		if len(r.raw) > maxEventBytes {
-			return event, ErrTooLarge
+		if growErr := r.add(line); growErr != nil {
+			return event, growErr
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
@@ -68,3 +73,22 @@
 		}
 	}
 }
+
+// add appends a part of a line to the event.
+func (r *Reader) add(line []byte) error {
+	size := len(r.raw) + len(line)
+	if size > maxEventBytes {
+		return ErrTooLarge
+	}
+	if size > cap(r.raw) {
+		larger := max(size, 2*cap(r.raw))
+		if err := r.grow(int64(larger - cap(r.raw))); err != nil {
+			return err
+		}
+		grown := make([]byte, len(r.raw), larger)
+		copy(grown, r.raw)
+		r.raw = grown
+	}
+	r.raw = append(r.raw, line...)
+	return nil
+}
--- a/eventstream/reader_test.go
+++ b/eventstream/reader_test.go
@@ -14,7 +14,7 @@
 // Guards against events that are changed, joined or split on their way.
 func TestEventsPassUnchanged(t *testing.T) {
 	text := "id: 1\ndata: one\n\nx-weight-versions: 3\nid:2\r\ndata: " + strings.Repeat("y", 5000) + "\r\n\r\n: comment\n\nid: seven\ndata: z\n\n"
-	r := NewReader(iotest.OneByteReader(strings.NewReader(text)))
+	r := NewReader(iotest.OneByteReader(strings.NewReader(text)), nil)
 	var joined bytes.Buffer
 	var ids []int64
 	for {
@@ -34,13 +34,13 @@
 
 // Guards against half an event that passes for a whole one at the end of a stream.
 func TestHalfAnEventIsAnError(t *testing.T) {
-	r := NewReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n"))
+	r := NewReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n"), nil)
 	_, err := r.Next()
 	assert.NilError(t, err)
 	_, err = r.Next()
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	broken := errors.New("broken")
-	r = NewReader(io.MultiReader(strings.NewReader("id: 1\n\n"), iotest.ErrReader(broken)))
+	r = NewReader(io.MultiReader(strings.NewReader("id: 1\n\n"), iotest.ErrReader(broken)), nil)
 	_, err = r.Next()
 	assert.NilError(t, err)
 	_, err = r.Next()
@@ -49,7 +49,7 @@
 
 // Guards against a stream without blank lines that fills the memory.
 func TestEventIsBounded(t *testing.T) {
-	_, err := NewReader(strings.NewReader(strings.Repeat("data: x\n", maxEventBytes/4))).Next()
+	_, err := NewReader(strings.NewReader(strings.Repeat("data: x\n", maxEventBytes/4)), nil).Next()
 	assert.ErrorIs(t, err, ErrTooLarge)
 }
 
@@ -58,7 +58,7 @@
 	f.Add([]byte("id: 1\ndata: x\n\n"))
 	f.Add([]byte("\n\r\n\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		r := NewReader(bytes.NewReader(data))
+		r := NewReader(bytes.NewReader(data), nil)
 		var joined []byte
 		for {
 			event, err := r.Next()
