--- a/internal/pollers/copies.go
+++ b/internal/pollers/copies.go
@@ -76,6 +76,24 @@
 	c.revision = max(c.revision, batch.Revision)
 }
 
+// changed returns how a snapshot differs from the copy.
+func (c *copied) changed(snapshot catalog.Batch) []catalog.Entry {
+	var out []catalog.Entry
+	listed := make(map[string]bool, len(snapshot.Entries))
+	for _, e := range snapshot.Entries {
+		listed[e.Key] = true
+		if old, known := c.rows[e.Key]; !known || old.Revision != e.Revision {
+			out = append(out, e)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(c.rows)) {
+		if !listed[key] {
+			out = append(out, catalog.Entry{Key: key, Revision: snapshot.Revision, Deleted: true})
+		}
+	}
+	return out
+}
+
 // dropAnswers drops what came too late for an earlier question.
 func (c *copied) dropAnswers() {
 	for {
@@ -246,14 +264,18 @@
 	}
 }
 
-// keep takes a batch into the copy, and sends the copy to those that wait for it.
-func (d *Duty) keep(topic catalog.Topic, batch catalog.Batch, snapshot bool) {
-	if topic != catalog.Registry {
-		return
-	}
+// keep takes a batch into the copy, and sends the copy to those that wait for it. A
+// snapshot after an earlier one becomes what changed since: rows that are gone from it
+// were dropped while the source lost its history. First is set for the first snapshot.
+func (d *Duty) keep(topic catalog.Topic, batch *catalog.Batch, snapshot bool) (first bool) {
 	d.mu.Lock()
 	c := d.copies[topic]
-	c.apply(batch, snapshot)
+	whole := *batch
+	first = snapshot && !c.complete
+	if snapshot && c.complete {
+		batch.Entries = c.changed(whole)
+	}
+	c.apply(whole, snapshot)
 	var askers []string
 	if c.complete {
 		askers, c.askers = c.askers, nil
@@ -262,6 +284,7 @@
 	if len(askers) > 0 {
 		d.sendCopy(topic, peerpb.CopyState_COPY_HERE, askers)
 	}
+	return first
 }
 
 // Settle implements catalog.Peers: it waits at start until a poller has told its
--- a/internal/pollers/pollers.go
+++ b/internal/pollers/pollers.go
@@ -172,20 +172,20 @@
 	return d.pushes[topic]
 }
 
-// Answered implements catalog.Peers. A poller passes changes on at once.
+// Answered implements catalog.Peers.
 func (d *Duty) Answered(topic catalog.Topic, batch catalog.Batch, snapshot bool) {
 	now := time.Now()
+	first := d.keep(topic, &batch, snapshot)
 	revision := newest(batch)
 	d.mu.Lock()
 	d.answered[topic] = now
 	after := d.seen[topic]
 	d.seen[topic] = max(after, revision)
 	d.mu.Unlock()
-	d.keep(topic, batch, snapshot)
 	if revision <= after {
 		return
 	}
-	if !snapshot && d.polls(d.Here()) {
+	if !first && d.polls(d.Here()) {
 		d.push(topic, after, revision, batch)
 	}
 	d.tell(now)
@@ -197,7 +197,7 @@
 	d.mu.Lock()
 	d.seen[topic] = max(d.seen[topic], batch.Revision)
 	d.mu.Unlock()
-	d.keep(topic, batch, snapshot)
+	d.keep(topic, &batch, snapshot)
 }
 
 // Failed implements catalog.Peers.
--- a/internal/pollers/pollers_test.go
+++ b/internal/pollers/pollers_test.go
@@ -158,3 +158,27 @@
 		assert.Assert(t, !m.duties[ranked[3]].Covered())
 	})
 }
+
+// Guards against a leaving target that only the pollers hear of: when the store has lost
+// its history, they read everything anew, and what is gone from that must be passed on.
+func TestPollersPassOnWhatASnapshotDropped(t *testing.T) {
+	inMesh(t, func(m *mesh, ranked []string) {
+		poller := m.duties[ranked[0]]
+		poller.Answered(catalog.Registry, catalog.Batch{Revision: 7, Entries: []catalog.Entry{
+			{Key: "gone", Revision: 5, Raw: []byte("x")}, {Key: "kept", Revision: 6, Raw: []byte("y")}, {Key: "new", Revision: 7, Raw: []byte("1")},
+		}}, true)
+		pushes := m.duties[ranked[4]].Pushes(catalog.Registry)
+		assert.Equal(t, len(pushes), 0, "the first snapshot is no change")
+		poller.Answered(catalog.Registry, catalog.Batch{Revision: 12, Entries: []catalog.Entry{
+			{Key: "kept", Revision: 6, Raw: []byte("y")}, {Key: "new", Revision: 9, Raw: []byte("2")},
+		}}, true)
+		assert.Equal(t, len(pushes), 1)
+		assert.DeepEqual(t, <-pushes, catalog.Push{After: 7, Batch: catalog.Batch{Revision: 12, Entries: []catalog.Entry{
+			{Key: "new", Revision: 9, Raw: []byte("2")}, {Key: "gone", Revision: 12, Deleted: true},
+		}}})
+		poller.Answered(catalog.Registry, catalog.Batch{Revision: 14, Entries: []catalog.Entry{
+			{Key: "kept", Revision: 6, Raw: []byte("y")}, {Key: "new", Revision: 9, Raw: []byte("2")},
+		}}, true)
+		assert.Equal(t, len(pushes), 0, "nothing changed")
+	})
+}
