Give a target nothing more once another one answers at its address

Cause: an engine that crashed comes back under a new name at its address. Its old entry stays in the registry for about four seconds, the check by a connection succeeds, and every request sent there is refused with 421.

Ruled out: requests that run twice (none ran), ejection by evidence (the detector needs seconds, and readmits by a health check).

Change: the owner takes the target out with the first such answer; it gets requests again when its health check shows its own name, or with a new entry of the registry. A target that was down is asked for its name too.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -47,6 +47,10 @@
 	return kindNames[k]
 }
 
+// ErrReplaced says that another target answers at the address of the one that was
+// asked. Nothing ran.
+var ErrReplaced = errors.New("another target answers at the address")
+
 // Error is the failure of one attempt.
 type Error struct {
 	Kind   Kind
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -150,11 +150,12 @@
 	g.leases = leases.New(leases.Config{Self: self, Send: g.mesh.Send, Everyone: g.places.everyone, Bucket: g.bucketOf})
 	g.link = newLink()
 	g.reach = reach.New(reach.Config{
-		Dial:    g.pool.Dial,
-		Address: g.addressOf,
-		OnState: func(target string, state owner.TargetState) { g.owners.SetTargetState(target, state) },
-		OnDown:  g.suspects.TargetLost,
-		Logger:  g.logger,
+		Dial:     g.pool.Dial,
+		Address:  g.addressOf,
+		Identify: g.identify,
+		OnState:  func(target string, state owner.TargetState) { g.owners.SetTargetState(target, state) },
+		OnDown:   g.suspects.TargetLost,
+		Logger:   g.logger,
 	})
 	g.moves = moves.New(moves.Config{
 		Self:        self,
@@ -179,10 +180,11 @@
 		logger:      g.logger,
 	})
 	g.owners = owners.New(owners.Config{
-		Self:   self,
-		Sender: g.mesh,
-		OnLost: g.reach.Check,
-		Trial:  g.trial,
+		Self:       self,
+		Sender:     g.mesh,
+		OnLost:     g.reach.Check,
+		OnReplaced: g.reach.Replaced,
+		Trial:      g.trial,
 		// The platform does not tell the hardware of targets: each one is its own.
 		Model:  estimate.NewSharing(),
 		Logger: g.logger,
--- a/daemon/gateway_inputs.go
+++ b/daemon/gateway_inputs.go
@@ -99,6 +99,15 @@
 	return ""
 }
 
+// identify asks a target for its health, which tells its name.
+func (g *Gateway) identify(target string) error {
+	t := g.places.Target(target)
+	if t == nil {
+		return nil
+	}
+	return g.trial(t)
+}
+
 // trial asks an ejected target for its health. A target that says that it is
 // healthy gets requests again, and is ejected anew if they fail.
 func (g *Gateway) trial(t *object.Target) error {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -286,6 +286,9 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return ResultTimeout
 	}
+	if errors.Is(err, attempt.ErrReplaced) {
+		return ResultTargetReplaced
+	}
 	switch attempt.KindOf(err) {
 	case attempt.NotSent, attempt.MaybeSent, attempt.Cut:
 		return ResultTargetLost
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -192,6 +192,8 @@
 	}
 	f.held = &heldAnswer{status: reply.Status, header: reply.Header, body: body}
 	switch {
+	case reply.Status == http.StatusMisdirectedRequest:
+		return fail(attempt.Refused, target, reply.Status, attempt.ErrReplaced)
 	case reply.NotRun:
 		return fail(attempt.Refused, target, reply.Status, errTargetRefused)
 	case promisesNotRun(reply.Status):
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -81,9 +81,10 @@
 
 // rotatingGrants grants the targets in turn and none that is excluded.
 type rotatingGrants struct {
-	mu     sync.Mutex
-	open   int
-	refuse bool
+	mu      sync.Mutex
+	open    int
+	refuse  bool
+	results []Result
 }
 
 var errNoGrant = Refuse(http.StatusServiceUnavailable, CodeOverloaded, "no room")
@@ -103,9 +104,10 @@
 	return nil, errNoGrant
 }
 
-func (g *rotatingGrants) Release(*Grant, Report) {
+func (g *rotatingGrants) Release(_ *Grant, report Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.results = append(g.results, report.Result)
 	g.open--
 }
 func (*rotatingGrants) Doubt(*Grant) {}
@@ -212,6 +214,8 @@
 		assert.NilError(t, c.run(t.Context(), object.RepeatNever, false))
 		assert.Equal(t, c.sink.body.String(), "done")
 		assert.Equal(t, c.sink.from, "t2")
+		replaced := first.status == http.StatusMisdirectedRequest
+		assert.Equal(t, c.grants.results[0] == ResultTargetReplaced, replaced, "the owner learns of a replaced target, and of no other failure by this word")
 	}
 }
 
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -76,6 +76,8 @@
 	ResultPreempted
 	ResultTargetLost
 	ResultTimeout
+	// ResultTargetReplaced: another target answers at the address.
+	ResultTargetReplaced
 )
 
 // Report ends a grant.
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -35,6 +35,7 @@
 	AttemptFailed       Event = 1305
 	TargetDown          Event = 1401
 	TargetUp            Event = 1402
+	TargetReplaced      Event = 1408
 	TargetEjected       Event = 1403
 	TargetChanged       Event = 1405
 	TargetReadmitted    Event = 1404
@@ -84,6 +85,7 @@
 	TargetGone:          {logrus.InfoLevel, "target has left the registry"},
 	TargetDown:          {logrus.WarnLevel, "target does not answer its probe"},
 	TargetUp:            {logrus.InfoLevel, "target answers its probe"},
+	TargetReplaced:      {logrus.InfoLevel, "another target answers at the address of this one"},
 	TargetChanged:       {logrus.InfoLevel, "target changed its state"},
 	TargetEjected:       {logrus.WarnLevel, "target is ejected on the evidence of its requests"},
 	TargetReadmitted:    {logrus.InfoLevel, "ejected target passed its trials and is used again"},
--- a/internal/grants/client.go
+++ b/internal/grants/client.go
@@ -157,6 +157,8 @@
 	entry.ResultPreempted:  peerpb.ReleaseOutcome_RELEASE_PREEMPTED,
 	entry.ResultTargetLost: peerpb.ReleaseOutcome_RELEASE_TARGET_LOST,
 	entry.ResultTimeout:    peerpb.ReleaseOutcome_RELEASE_TIMEOUT,
+
+	entry.ResultTargetReplaced: peerpb.ReleaseOutcome_RELEASE_TARGET_REPLACED,
 }
 
 // Requeue implements entry.Grants: it gives a preempted grant back and waits for
--- a/internal/owners/duty.go
+++ b/internal/owners/duty.go
@@ -33,15 +33,16 @@
 // Duty holds the groups. Run drives it; the other methods are safe for
 // concurrent use and hand their input to the ring.
 type Duty struct {
-	self   string
-	sender Sender
-	logger *eventlog.Logger
-	onLost func(target string, running []owner.Running)
-	trial  Trial
-	group  owner.Options
-	events *ring.Ring[event]
-	model  *estimate.Model
-	groups map[key]*state
+	self       string
+	sender     Sender
+	logger     *eventlog.Logger
+	onLost     func(target string, running []owner.Running)
+	onReplaced func(target string)
+	trial      Trial
+	group      owner.Options
+	events     *ring.Ring[event]
+	model      *estimate.Model
+	groups     map[key]*state
 	// states are the last known states of targets, kept over changes of groups.
 	states map[string]owner.TargetState
 	// loaded are the versions that each target reported, by target.
@@ -88,8 +89,11 @@
 	// OnLost is told that a connection to a target broke, with the requests that
 	// ran there.
 	OnLost func(target string, running []owner.Running)
-	Trial  Trial
-	Logger *eventlog.Logger
+	// OnReplaced is told that another target answers at the address of one, which
+	// gets nothing more until its state is set again. Nil takes it for a failed request.
+	OnReplaced func(target string)
+	Trial      Trial
+	Logger     *eventlog.Logger
 	// Model predicts times and is the duty's own from now on; nil takes a new one.
 	Model *estimate.Model
 	// Group configures the groups; their model is Model.
@@ -105,6 +109,7 @@
 		self:          config.Self,
 		sender:        config.Sender,
 		onLost:        config.OnLost,
+		onReplaced:    config.OnReplaced,
 		trial:         config.Trial,
 		group:         config.Group,
 		logger:        config.Logger,
@@ -170,13 +175,15 @@
 
 // SetTargetState tells the state of a target.
 func (d *Duty) SetTargetState(target string, to owner.TargetState) {
-	d.events.TryPush(func(now time.Time) {
-		if d.states[target] == to {
-			return
-		}
-		d.states[target] = to
-		d.applyState(now, target)
-	})
+	d.events.TryPush(func(now time.Time) { d.setTargetState(now, target, to) })
+}
+
+func (d *Duty) setTargetState(now time.Time, target string, to owner.TargetState) {
+	if d.states[target] == to {
+		return
+	}
+	d.states[target] = to
+	d.applyState(now, target)
 }
 
 // SetLoaded tells which versions a target reports as loaded.
--- a/internal/owners/messages.go
+++ b/internal/owners/messages.go
@@ -54,6 +54,10 @@
 		return
 	}
 	switch {
+	case m.Outcome == peerpb.ReleaseOutcome_RELEASE_TARGET_REPLACED && d.onReplaced != nil:
+		// At once, so that the next request of the queue does not follow.
+		d.setTargetState(now, m.Target, owner.Down)
+		d.onReplaced(m.Target)
 	case m.Outcome == peerpb.ReleaseOutcome_RELEASE_TARGET_LOST, m.Outcome == peerpb.ReleaseOutcome_RELEASE_TIMEOUT && d.group.CheckStalled:
 		d.onLost(m.Target, s.group.InFlight(m.Target))
 	}
--- a/internal/owners/outliers.go
+++ b/internal/owners/outliers.go
@@ -29,7 +29,7 @@
 // caller or the scheduler ended show nothing.
 func (d *Duty) observeTarget(now time.Time, s *state, m *peerpb.Release) {
 	switch m.Outcome {
-	case peerpb.ReleaseOutcome_RELEASE_CANCELLED, peerpb.ReleaseOutcome_RELEASE_PREEMPTED:
+	case peerpb.ReleaseOutcome_RELEASE_CANCELLED, peerpb.ReleaseOutcome_RELEASE_PREEMPTED, peerpb.ReleaseOutcome_RELEASE_TARGET_REPLACED:
 		return
 	}
 	t := d.target(m.Service, m.Target)
--- a/internal/owners/protocol_test.go
+++ b/internal/owners/protocol_test.go
@@ -46,6 +46,8 @@
 	mu     sync.Mutex
 	view   *topology.Topology
 	silent []string
+	// replaced are the targets whose address another one has.
+	replaced []string
 }
 
 func (n *node) Local() *topology.Topology {
@@ -136,6 +138,11 @@
 	n.duty = New(Config{
 		Self: name, Sender: port{w, name}, Logger: eventlog.Discard(),
 		OnLost: func(string, []owner.Running) {}, Trial: func(*object.Target) error { return nil },
+		OnReplaced: func(target string) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.replaced = append(n.replaced, target)
+		},
 	})
 	n.client = grants.New(grants.Config{Self: name, Sender: port{w, name}, Places: n, Link: n, Unreachable: func(daemon string) {
 		n.mu.Lock()
@@ -545,3 +552,38 @@
 		assert.DeepEqual(t, holder.inFlight(), []string{"r on " + grant.Target.Name})
 	})
 }
+
+// Answers the pattern of engines that crashed and came back under another name: their old
+// entry stays in the registry for seconds, they look idle, and each refusal frees a slot
+// for the next request of the queue.
+func TestReplacedTargetDrawsNoFurtherRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, asker, holder := twoNodes(t)
+		first, err := asker.client.Reserve(t.Context(), need("first", 0, time.Minute))
+		assert.NilError(t, err)
+		asker.client.Release(first, entry.Report{Result: entry.ResultTargetReplaced})
+		time.Sleep(100 * time.Millisecond)
+		holder.mu.Lock()
+		assert.DeepEqual(t, holder.replaced, []string{first.Target.Name})
+		holder.mu.Unlock()
+		reserve := func(id string) string {
+			grant, err := asker.client.Reserve(t.Context(), need(id, 0, time.Minute))
+			assert.NilError(t, err)
+			asker.client.Release(grant, entry.Report{Result: entry.ResultDone})
+			time.Sleep(100 * time.Millisecond)
+			return grant.Target.Name
+		}
+		for i := range 10 {
+			assert.Assert(t, reserve(fmt.Sprint("r", i)) != first.Target.Name)
+		}
+		holder.duty.SetTargetState(first.Target.Name, owner.Up)
+		time.Sleep(100 * time.Millisecond)
+		var held []string
+		for i := range 2 * testSlots {
+			grant, err := asker.client.Reserve(t.Context(), need(fmt.Sprint("again", i), 0, time.Minute))
+			assert.NilError(t, err)
+			held = append(held, grant.Target.Name)
+		}
+		assert.Assert(t, slices.Contains(held, first.Target.Name))
+	})
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/owner"
@@ -23,6 +25,9 @@
 	// maxAge ends the checks of a target that stays down; the registry drops it
 	// long before.
 	maxAge = time.Minute
+	// identifyInterval is the pause between questions for the name of the target at an
+	// address. The registry drops a target that was replaced within about four seconds.
+	identifyInterval = 500 * time.Millisecond
 )
 
 // Config holds the parts of a Duty. All are required.
@@ -31,6 +36,9 @@
 	Dial func(ctx context.Context, address string) error
 	// Address returns the address of a target, "" when it is not known any more.
 	Address func(target string) string
+	// Identify asks for the name of the target at an address. Its error wraps
+	// attempt.ErrReplaced when that is another one.
+	Identify func(target string) error
 	// OnState is told when a target is found down, and when it is up again.
 	OnState func(target string, state owner.TargetState)
 	// OnDown is told the fingerprints of the requests that ran on a target when it
@@ -66,21 +74,59 @@
 
 // Check looks whether a target takes connections, after requests on it were lost.
 func (d *Duty) Check(target string, running []owner.Running) {
+	d.start(target, func(ctx context.Context) { d.check(ctx, target, running) })
+}
+
+// Replaced takes a target out at whose address another one answered, until it answers
+// under its own name. Targets that were started anew look idle and quick to refuse, and
+// would draw request after request until the registry drops their old entry.
+func (d *Duty) Replaced(target string) {
+	d.start(target, func(ctx context.Context) {
+		d.OnState(target, owner.Down)
+		d.awaitIdentity(ctx, target)
+	})
+}
+
+// start runs a check of a target unless one is running.
+func (d *Duty) start(target string, check func(ctx context.Context)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.ctx == nil || d.ctx.Err() != nil || d.active[target] {
 		return
 	}
 	d.active[target] = true
-	d.tasks.Go(func() { d.check(d.ctx, target, running) })
+	d.tasks.Go(func() {
+		defer d.end(target)
+		check(d.ctx)
+	})
+}
+
+func (d *Duty) end(target string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.active, target)
+}
+
+// awaitIdentity waits until a target answers under its own name, or cannot be asked, and
+// lets it have requests again.
+func (d *Duty) awaitIdentity(ctx context.Context, target string) {
+	logged := false
+	for started := time.Now(); time.Since(started) < maxAge && d.Address(target) != ""; {
+		if !errors.Is(d.Identify(target), attempt.ErrReplaced) {
+			break
+		}
+		if !logged {
+			d.Logger.Emit(eventlog.TargetReplaced, eventlog.Fields{"target": target})
+			logged = true
+		}
+		if !pause.For(ctx, identifyInterval) {
+			return
+		}
+	}
+	d.OnState(target, owner.Up)
 }
 
 func (d *Duty) check(ctx context.Context, target string, running []owner.Running) {
-	defer func() {
-		d.mu.Lock()
-		delete(d.active, target)
-		d.mu.Unlock()
-	}()
 	if d.reachable(ctx, target) || ctx.Err() != nil {
 		return
 	}
@@ -100,7 +146,7 @@
 		}
 	}
 	d.Logger.Emit(eventlog.TargetUp, eventlog.Fields{"target": target})
-	d.OnState(target, owner.Up)
+	d.awaitIdentity(ctx, target)
 }
 
 func (d *Duty) reachable(ctx context.Context, target string) bool {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/owner"
 )
@@ -30,7 +34,8 @@
 			}
 			return errors.New("no answer")
 		},
-		Address: func(string) string { return "10.0.0.1:1" },
+		Address:  func(string) string { return "10.0.0.1:1" },
+		Identify: func(string) error { return nil },
 		OnState: func(_ string, s owner.TargetState) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -78,3 +83,60 @@
 	cancel()
 	assert.NilError(t, <-done)
 }
+
+// Guards against a target that was replaced and gets requests again because something
+// answers at its address, and against one that stays out under its own name or after the
+// registry has dropped it.
+func TestReplacedTargetWaitsForItsName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var other, registered atomic.Bool
+		other.Store(true)
+		registered.Store(true)
+		var mu sync.Mutex
+		var states []owner.TargetState
+		seen := func() []owner.TargetState {
+			mu.Lock()
+			defer mu.Unlock()
+			return slices.Clone(states)
+		}
+		d := New(Config{
+			Dial: func(context.Context, string) error { return nil },
+			Address: func(string) string {
+				if registered.Load() {
+					return "10.0.0.1:1"
+				}
+				return ""
+			},
+			Identify: func(string) error {
+				if other.Load() {
+					return fmt.Errorf("health check: %w", attempt.ErrReplaced)
+				}
+				return nil
+			},
+			OnState: func(_ string, s owner.TargetState) {
+				mu.Lock()
+				defer mu.Unlock()
+				states = append(states, s)
+			},
+			OnDown:  func(string, []uint64) {},
+			Logger:  eventlog.Discard(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = d.Run(ctx) }()
+		synctest.Wait()
+		d.Replaced("t")
+		d.Replaced("t")
+		d.Check("t", nil)
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, seen(), []owner.TargetState{owner.Down})
+		other.Store(false)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, seen(), []owner.TargetState{owner.Down, owner.Up})
+		other.Store(true)
+		registered.Store(false)
+		d.Replaced("t")
+		time.Sleep(time.Second)
+		assert.Equal(t, len(seen()), 4)
+		cancel()
+	})
+}
--- a/owner/types.go
+++ b/owner/types.go
@@ -91,6 +91,7 @@
 	OutcomePreempted
 	OutcomeTargetLost
 	OutcomeTimeout
+	OutcomeTargetReplaced
 )
 
 // Report ends a grant and tells what was observed.
