--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -118,8 +118,8 @@
 				defer mu.Unlock()
 				states = append(states, s)
 			},
-			OnDown:  func(string, []uint64) {},
-			Logger:  eventlog.Discard(),
+			OnDown: func(string, []uint64) {},
+			Logger: eventlog.Discard(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = d.Run(ctx) }()
