--- a/daemon/startup.go
+++ b/daemon/startup.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 )
 
 // listWait bounds the wait for the list of daemons once the configuration is in force:
@@ -52,12 +54,8 @@
 	case <-ctx.Done():
 		return nil
 	}
-	timer := time.NewTimer(listWait)
-	defer timer.Stop()
-	select {
-	case <-s.listed:
-	case <-timer.C:
-	case <-ctx.Done():
+	pause.Until(ctx, s.listed, listWait)
+	if ctx.Err() != nil {
 		return nil
 	}
 	close(s.ready)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -13,6 +13,7 @@
 	"github.com/marjoramflow/marjoramflow/entry"
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/frontend"
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/upstream"
 )
@@ -134,22 +135,11 @@
 	if s.Ready == nil {
 		return
 	}
-	select {
-	case <-s.Ready:
-		return
-	default:
-	}
 	wait := readyWait
 	if c.TimeLeft > 0 {
 		wait = min(wait, time.Duration(readyShare*float64(c.TimeLeft)))
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-s.Ready:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.Until(ctx, s.Ready, wait)
 }
 
 func refuseLater(status int, code entry.Code, message string, after time.Duration) *entry.Refusal {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -19,6 +19,20 @@
 	}
 }
 
+// Until waits for a channel to be closed, at most for a time and not beyond the end of
+// the context, and reports whether it was closed.
+func Until(ctx context.Context, done <-chan struct{}, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // Every calls do at an interval until the context ends, not at the start. A call that
 // takes longer delays the next one. It returns nil, as the duty of a goroutine does that
 // ends with its context.
--- a/internal/pollers/copies.go
+++ b/internal/pollers/copies.go
@@ -130,7 +130,7 @@
 	if topic != catalog.Registry {
 		return catalog.Batch{}, false
 	}
-	d.awaitList(ctx)
+	pause.Until(ctx, d.Listed, listWait)
 	d.copies[topic].dropAnswers()
 	for _, name := range d.copyHolders() {
 		if batch, ok := d.pull(ctx, topic, name); ok {
@@ -143,16 +143,6 @@
 	return catalog.Batch{}, false
 }
 
-func (d *Duty) awaitList(ctx context.Context) {
-	timer := time.NewTimer(listWait)
-	defer timer.Stop()
-	select {
-	case <-d.Listed:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // copyHolders returns the daemons to ask: the parent in the tree, then a poller. A
 // poller asks the source.
 func (d *Duty) copyHolders() []string {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -61,7 +61,7 @@
 // earlier run with the same address is kept: when all daemons come back at once, their
 // writes would take a second of the table.
 func (r *Roster) Run(ctx context.Context) error {
-	r.awaitFirstRead(ctx)
+	pause.Until(ctx, r.listed, firstRead)
 	failing := false
 	for ctx.Err() == nil && !r.registered() {
 		err := r.register(ctx)
@@ -78,16 +78,6 @@
 	return nil
 }
 
-func (r *Roster) awaitFirstRead(ctx context.Context) {
-	timer := time.NewTimer(firstRead)
-	defer timer.Stop()
-	select {
-	case <-r.listed:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // registered says whether the last read has the row of this daemon as it would write it.
 func (r *Roster) registered() bool {
 	r.mu.Lock()
