Answer with the failure of the target that ran, not with a later refusal

Found in the read of the diff: an answer of a target that did not run the request was held like one of a target that did. A safe call that failed at one target (500) and was then refused by the others (503, not executed) got that 503, which says that nothing ran.

Change: only answers of targets that ran the request are held, each with its own memory. The test failed before with 503 in place of 500.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -43,9 +43,9 @@
 	lastEvent int64
 	events    int
 	started   bool
-	// held is the last whole failure of a target.
-	held *heldAnswer
-	// holding is the memory of the answer.
+	// held is the last whole answer of a target that has run the request, and holding
+	// its memory.
+	held    *heldAnswer
 	holding *bytebudget.Holding
 	gone    error
 	// lastPassed is when the last event went to the caller.
@@ -74,7 +74,7 @@
 		version:   e.Versions.Pick(r.Service),
 		holding:   e.AnswerMemory.Hold(),
 	}
-	defer f.holding.Release()
+	defer func() { f.holding.Release() }()
 	err := f.runToEnd(ctx)
 	return f.trace, err
 }
@@ -185,25 +185,38 @@
 // can be repeated or replaced by an error.
 func (f *forward) whole(ctx context.Context, reply *Reply, target string, started time.Time) error {
 	reply.Body.SetReadDeadline(f.firstByteBy(started))
-	f.releaseHeld()
-	body, err := f.readWhole(reply)
+	holding := f.entry.AnswerMemory.Hold()
+	body, err := readWhole(reply, holding)
 	if err != nil {
+		holding.Release()
 		return fail(readFailure(ctx, err), target, reply.Status, err)
 	}
+	if kind, err := withoutAnswer(reply); err != nil {
+		holding.Release()
+		return fail(kind, target, reply.Status, err)
+	}
+	f.holding.Release()
+	f.holding = holding
 	f.held = &heldAnswer{status: reply.Status, header: reply.Header, body: body}
+	if reply.Status >= http.StatusInternalServerError {
+		return fail(attempt.Failed, target, reply.Status, errTargetFailed)
+	}
+	f.entry.Suspects.Finished(f.request.Fingerprint)
+	return f.deliver()
+}
+
+// withoutAnswer returns the error of a reply that is not passed on: a target that did not
+// run the request, or one that says so by its status alone.
+func withoutAnswer(reply *Reply) (attempt.Kind, error) {
 	switch {
 	case reply.Status == http.StatusMisdirectedRequest:
-		return fail(attempt.Refused, target, reply.Status, attempt.ErrReplaced)
+		return attempt.Refused, attempt.ErrReplaced
 	case reply.NotRun:
-		return fail(attempt.Refused, target, reply.Status, errTargetRefused)
+		return attempt.Refused, errTargetRefused
 	case promisesNotRun(reply.Status):
-		f.held = nil
-		return fail(attempt.Failed, target, reply.Status, errTargetFailed)
-	case reply.Status >= http.StatusInternalServerError:
-		return fail(attempt.Failed, target, reply.Status, errTargetFailed)
+		return attempt.Failed, errTargetFailed
 	}
-	f.entry.Suspects.Finished(f.request.Fingerprint)
-	return f.deliver()
+	return 0, nil
 }
 
 // promisesNotRun says whether a status tells callers that their request has not run.
@@ -217,24 +230,15 @@
 	return false
 }
 
-// readWhole reads a body into memory that is charged to the request until its end.
-func (f *forward) readWhole(reply *Reply) ([]byte, error) {
-	body, err := f.holding.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1), reply.Length)
+// readWhole reads a body into memory that is charged to a holding.
+func readWhole(reply *Reply, holding *bytebudget.Holding) ([]byte, error) {
+	body, err := holding.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1), reply.Length)
 	if err == nil && len(body) > maxAnswerBytes {
 		err = fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes)
 	}
-	if err != nil {
-		f.holding.Release()
-	}
 	return body, err
 }
 
-// releaseHeld drops a held answer of an earlier attempt with its memory.
-func (f *forward) releaseHeld() {
-	f.held = nil
-	f.holding.Release()
-}
-
 // readFailure classifies a body that could not be read to its end.
 func readFailure(ctx context.Context, err error) attempt.Kind {
 	var timeout interface{ Timeout() bool }
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -20,8 +20,9 @@
 
 // stream passes whole events on as they arrive.
 func (f *forward) stream(reply *Reply, target string, report *Report, started time.Time, doubt *time.Timer) error {
-	events := eventstream.NewReader(reply.Body, f.holding.Grow)
-	defer f.holding.Release()
+	holding := f.entry.AnswerMemory.Hold()
+	defer holding.Release()
+	events := eventstream.NewReader(reply.Body, holding.Grow)
 	unnumbered := 0
 	reply.Body.SetReadDeadline(f.firstByteBy(started))
 	for {
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -159,10 +159,12 @@
 	grants    *rotatingGrants
 	entry     *Entry
 	sink      *recordedSink
+	// attempts are those that the ingress permits.
+	attempts int
 }
 
 func newForward(turns ...turn) *forwardCase {
-	c := &forwardCase{forwarder: &scriptedForwarder{turns: turns}, grants: &rotatingGrants{}, sink: &recordedSink{}}
+	c := &forwardCase{forwarder: &scriptedForwarder{turns: turns}, grants: &rotatingGrants{}, sink: &recordedSink{}, attempts: 2}
 	c.entry = New(Config{
 		Grants: c.grants, Versions: oneVersion{}, Observer: noObserver{}, Suspects: noSuspects{}, Retries: freeRetries{},
 		Forwarder: c.forwarder, Pause: func(context.Context, time.Duration) {},
@@ -174,7 +176,7 @@
 	now := time.Now()
 	_, err := c.entry.Forward(ctx, &ForwardRequest{
 		ID: "r", Caller: Caller{Tier: &object.Tier{Name: "t"}}, Service: &object.Service{Name: "s"},
-		Ingress: &object.Ingress{Name: "i", Repeat: repeat, Stream: stream, Attempts: 2, Timeout: 5 * time.Second, Objective: time.Second},
+		Ingress: &object.Ingress{Name: "i", Repeat: repeat, Stream: stream, Attempts: c.attempts, Timeout: 5 * time.Second, Objective: time.Second},
 		Arrived: now, Deadline: now.Add(5 * time.Second), ResumeAfter: NoEvent,
 	}, c.sink)
 	return err
@@ -233,6 +235,22 @@
 	assert.Equal(t, c.sink.starts, 0)
 }
 
+// Guards against the word of a target that it did not run a request which another one
+// has run, and against a whole failure that is lost because a later answer was cut.
+func TestFailureOutlastsLaterRefusals(t *testing.T) {
+	c := newForward(turn{status: http.StatusInternalServerError, body: "broken"},
+		turn{status: http.StatusServiceUnavailable, notRun: true}, turn{status: http.StatusServiceUnavailable, notRun: true})
+	assert.NilError(t, c.run(t.Context(), object.RepeatSafe, false))
+	assert.Equal(t, c.sink.status, http.StatusInternalServerError)
+	assert.Equal(t, c.sink.body.String(), "broken")
+
+	c = newForward(turn{status: http.StatusInternalServerError, body: "broken"},
+		turn{status: http.StatusServiceUnavailable, notRun: true, body: "half", err: errCut}, turn{fails: attempt.NotSent})
+	c.attempts = 3
+	assert.NilError(t, c.run(t.Context(), object.RepeatSafe, false))
+	assert.Equal(t, c.sink.status, http.StatusInternalServerError)
+}
+
 // Guards against a safe call that is given up after one failure, and against more
 // targets than the ingress permits.
 func TestSafeCallRunsElsewhereWithinItsAttempts(t *testing.T) {
--- a/internal/pollers/pollers.go
+++ b/internal/pollers/pollers.go
@@ -172,7 +172,8 @@
 	return d.pushes[topic]
 }
 
-// Answered implements catalog.Peers.
+// Answered implements catalog.Peers. A poller passes changes on at once; its first
+// snapshot is no change.
 func (d *Duty) Answered(topic catalog.Topic, batch catalog.Batch, snapshot bool) {
 	now := time.Now()
 	first := d.keep(topic, &batch, snapshot)
