Use the shared interval loop in two more duties; size buffers by the stated length

The loops of grants and moves repeated pause.Every. Bodies and answers of a stated length up to 16 KB are read into one buffer, as before the byte budget, in place of two or three that are copied.

--- a/bytebudget/bytebudget.go
+++ b/bytebudget/bytebudget.go
@@ -74,17 +74,22 @@
 	h.bytes = 0
 }
 
-// firstRead is the first size of a buffer whose length is not known, in bytes.
-const firstRead = 4 << 10
+const (
+	// firstRead is the first size of a buffer whose length is not known, in bytes.
+	firstRead = 4 << 10
+	// knownRead bounds the first size of one whose length is stated: most messages fit,
+	// and a stated length alone takes little of the budget.
+	knownRead = 16 << 10
+)
 
 // ReadAll reads to the end like io.ReadAll, and takes the memory before it allocates
 // it. Expected is the length if it is known, else negative; a wrong one is no fault.
 // What was read before an error is returned with it.
 func (h *Holding) ReadAll(r io.Reader, expected int64) ([]byte, error) {
 	size := int64(firstRead)
-	if expected >= 0 && expected < size {
+	if expected >= 0 {
 		// One byte more, so that the end is found without growing.
-		size = expected + 1
+		size = min(expected+1, knownRead)
 	}
 	var data []byte
 	for {
--- a/internal/grants/move.go
+++ b/internal/grants/move.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/topology"
 )
@@ -44,18 +45,11 @@
 
 // Run resyncs with all owners every resyncInterval until the context ends.
 func (c *Client) Run(ctx context.Context) error {
-	ticker := time.NewTicker(resyncInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			for _, daemon := range c.knownOwners() {
-				c.resync(daemon)
-			}
+	return pause.Every(ctx, resyncInterval, func(time.Time) {
+		for _, daemon := range c.knownOwners() {
+			c.resync(daemon)
 		}
-	}
+	})
 }
 
 // knownOwners returns the owners of the groups that were asked.
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marjoramflow/marjoramflow/eventlog"
+	"github.com/marjoramflow/marjoramflow/internal/pause"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/provider"
@@ -119,23 +120,12 @@
 		d.controller.Run(ctx)
 		return nil
 	})
-	group.Go(func() error { return d.runEvidence(ctx) })
+	group.Go(func() error {
+		return pause.Every(ctx, evidenceInterval, func(time.Time) { d.passEvidence() })
+	})
 	return group.Wait()
 }
 
-func (d *Duty) runEvidence(ctx context.Context) error {
-	ticker := time.NewTicker(evidenceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			d.passEvidence()
-		}
-	}
-}
-
 // passEvidence moves evidence one step on: from the collector to the daemon that
 // pools it, and from the pool to the holder.
 func (d *Duty) passEvidence() {
