peer: fill the connection with few large messages in the full-ring test

Cause: the test queued 1,024 messages of 64 KiB behind the blocked writer, 64 MiB that need over 9 s with the race detector when 14 processes run at a time, against a wait of 10 s. Change: large messages only until the writer is blocked, then small ones; the bound of the ring, the refusals and the arrival of every queued message are checked as before. The log of a node is printed when its test fails, so that the reason of a lost session is seen.

--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/ring"
 )
@@ -42,11 +44,38 @@
 
 type nodeOption func(*Config, *node)
 
+// logBuffer holds the log lines of a node, which say why a session ended. It is safe for
+// concurrent use.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(line)
+}
+
+// printIfFailed prints the lines when the test has failed.
+func (b *logBuffer) printIfFailed(t testing.TB) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.Failed() {
+		t.Log(b.lines.String())
+	}
+}
+
 // newNode starts a mesh on a loopback port and stops it when the test ends.
 func newNode(t testing.TB, name string, options ...nodeOption) *node {
 	t.Helper()
 	n := &node{name: name, received: map[string][]string{}, lastUp: map[string]time.Time{}}
+	log := &logBuffer{}
+	logger, err := eventlog.New(log, "info", "text", name)
+	assert.NilError(t, err)
 	config := Config{
+		Logger:    logger,
 		Self:      Identity{Name: name, DataCentre: "lhr-a", Incarnation: 1},
 		Listen:    "127.0.0.1:0",
 		OnMessage: n.onMessage,
@@ -66,6 +95,7 @@
 	t.Cleanup(func() {
 		mesh.Close()
 		<-done
+		log.printIfFailed(t)
 	})
 	return n
 }
@@ -254,6 +284,26 @@
 	}
 }
 
+// blockWriter sends large messages to a peer that does not read, one at a time, until the
+// connection's buffers are full and a message stays in the ring. It returns their number.
+func blockWriter(t testing.TB, from *node, to string) (sent int) {
+	t.Helper()
+	large := preemptMessage(string(make([]byte, 64<<10)))
+	var queuedSince time.Time
+	for {
+		switch queued := from.Sessions()[0].Queued; {
+		case queued == 0:
+			assert.NilError(t, from.Send(to, large))
+			sent++
+			queuedSince = time.Now()
+		case time.Since(queuedSince) > 300*time.Millisecond:
+			return sent
+		default:
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 // Guards against a blocking Send, or an unbounded queue, when a peer does not read.
 func TestFullRingRefusesNewestMessage(t *testing.T) {
 	gate := make(chan struct{})
@@ -263,14 +313,13 @@
 	// This cleanup runs before those of the nodes, which wait for the blocked receiver.
 	t.Cleanup(openGate)
 	connect(t, a, b)
-	large := preemptMessage(string(make([]byte, 64<<10)))
-	queued, refused := 0, 0
-	// The writer takes messages from the ring until the connection's buffers are also
-	// full. The ring counts as full once Send has failed for 300 ms without a success.
+	queued := blockWriter(t, a, "b")
+	refused := 0
+	// The ring counts as full once Send has failed for 300 ms without a success.
 	var fullSince time.Time
 	for fullSince.IsZero() || time.Since(fullSince) < 300*time.Millisecond {
 		assert.Assert(t, queued < 100_000, "the queue has no bound")
-		err := a.Send("b", large)
+		err := a.Send("b", preemptMessage("x"))
 		if err == nil {
 			queued++
 			fullSince = time.Time{}
