catalog: take all waiting pushes of pollers as one batch

Three pollers of a data centre each push an overlapping slice about once a second, but a daemon applied one push in each installation interval of one second. Daemons of one data centre learnt of a target that leaves 4.97 s after its pollers, up to 16 buffered pushes behind. Change: the pushes that wait are merged into one batch; a gap between two of them is read from the source. Two tests, both fail without the change.

--- a/catalog/await_push.go
+++ b/catalog/await_push.go
@@ -35,10 +35,7 @@
 			if push.Revision <= revision {
 				continue
 			}
-			if push.After <= revision {
-				return push.Batch, nil
-			}
-			return Batch{}, w.fallBackToSource(topic, revision, push.Revision, true)
+			return w.mergePushes(topic, revision, push)
 		case <-ticker.C:
 		}
 		announced := w.Peers.AnnouncedRevision(topic)
@@ -55,6 +52,29 @@
 	}
 }
 
+// mergePushes returns the changes of a push and of all others that wait behind it as one
+// batch. Several pollers push slices that overlap, each more often than batches are
+// installed, so applying one push at a time would fall further and further behind. It
+// returns errAskSource when changes are missing between two of them.
+func (w *Watcher) mergePushes(topic Topic, revision uint64, first Push) (Batch, error) {
+	merged := Batch{Revision: revision}
+	for push := first; ; {
+		if push.After > merged.Revision {
+			return Batch{}, w.fallBackToSource(topic, revision, push.Revision, true)
+		}
+		if push.Revision > merged.Revision {
+			merged.Records = append(merged.Records, push.Records...)
+			merged.Revision = push.Revision
+			merged.AfterOutage = merged.AfterOutage || push.AfterOutage
+		}
+		select {
+		case push = <-w.Peers.Pushes(topic):
+		default:
+			return merged, nil
+		}
+	}
+}
+
 // fallBackToSource logs why the source is read instead of waiting for pushes, and returns
 // errAskSource.
 func (w *Watcher) fallBackToSource(topic Topic, revision, announced uint64, hasPoller bool) error {
--- a/catalog/await_push_test.go
+++ b/catalog/await_push_test.go
@@ -76,14 +76,16 @@
 }
 
 // runOperatorWatcher runs a test in a synctest bubble with a watcher of the operator's topic.
-func runOperatorWatcher(t *testing.T, test func(t *testing.T, source *longPollSource, peers *fakePeers, installedSet func() *object.Set)) {
+// The optional interval is the pause after changes.
+func runOperatorWatcher(t *testing.T, test func(t *testing.T, source *longPollSource, peers *fakePeers, installedSet func() *object.Set), interval ...time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &longPollSource{fakeSource: newFakeSource()}
-		peers := &fakePeers{hasPoller: true, pushes: make(chan Push, 4)}
+		peers := &fakePeers{hasPoller: true, pushes: make(chan Push, 16)}
 		var mu sync.Mutex
 		var last *object.Set
 		w := NewWatcher(WatcherConfig{
-			Source: source, Regions: regions, Peers: peers, Logger: eventlog.Discard(), OnOrder: func(Order) {},
+			Interval: append(interval, 0)[0],
+			Source:   source, Regions: regions, Peers: peers, Logger: eventlog.Discard(), OnOrder: func(Order) {},
 			Install: func(set *object.Set, _ CallerLimits) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -226,3 +228,45 @@
 		tasks.Wait()
 	})
 }
+
+// Guards against a daemon that falls behind while targets come and go all the time, as in
+// releases of several services at once: three pollers out of phase push overlapping slices,
+// each about once in the interval in which the daemon installs a batch. A daemon that applied
+// one push in each interval was over 4 s behind after 20 s, and sent requests to targets
+// that had long announced that they leave.
+func TestPushesOfSeveralPollersDoNotPileUp(t *testing.T) {
+	const (
+		interval = time.Second
+		pollers  = 3
+	)
+	runOperatorWatcher(t, func(t *testing.T, _ *longPollSource, peers *fakePeers, installedSet func() *object.Set) {
+		pushed := [pollers]uint64{1, 1, 1}
+		newest := uint64(1)
+		for range 30 {
+			for i := range pollers {
+				time.Sleep(interval / pollers)
+				newest++
+				record := Record{Key: "config", Revision: newest, Manifest: manifest(newest, fmt.Sprint("v", newest))}
+				peers.pushes <- Push{After: pushed[i], Batch: Batch{Revision: newest, Records: []Record{record}}}
+				pushed[i] = newest
+			}
+		}
+		time.Sleep(interval)
+		assert.Equal(t, firstServiceName(installedSet), fmt.Sprint("v", newest))
+	}, interval)
+}
+
+// Guards against changes that are skipped because the pushes behind the first one were taken
+// together although one between them was lost.
+func TestGapBetweenWaitingPushesIsReadFromTheSource(t *testing.T) {
+	runOperatorWatcher(t, func(t *testing.T, source *longPollSource, peers *fakePeers, installedSet func() *object.Set) {
+		push := func(after, revision uint64, service string) Push {
+			return Push{After: after, Batch: Batch{Revision: revision, Records: []Record{{Key: "config", Revision: revision, Manifest: manifest(revision, service)}}}}
+		}
+		source.put(OperatorTopic, Record{Key: "config", Manifest: manifest(9, "read")})
+		peers.pushes <- push(1, 2, "first")
+		peers.pushes <- push(3, 4, "after the gap")
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, firstServiceName(installedSet), "read")
+	})
+}
