Take target groups over from silent owners within a few round trips

Cause: an owner that loses power, freezes or is cut off blocked its engines for about 3 s (ioTimeout, then the refutation), and requests waited 500 ms, more than their objective, for each reply of it. Change: the wait for a reply follows the owner's observed reply times (RFC 6298); an owner that misses it is pinged, asked last by this daemon, and silent after 650 ms, or 250 ms if another daemon misses its answer too; silent daemons leave the live list until they are heard. A new process of a daemon frees the grants of the old one. A group that opens answers at once and does not hold immediate requests.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -198,6 +198,7 @@
 		Topologies:    d.topologies,
 		LinkBudget:    d.linkBudget,
 		OnUnreachable: d.members.ReportUnreachable,
+		OnUnanswered:  d.members.ReportUnanswered,
 	})
 	policies := newRetryPolicies()
 	d.entryRunner = entry.New(entry.Config{
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -204,6 +204,7 @@
 		Topologies:    g.topologies,
 		LinkBudget:    g.linkBudget,
 		OnUnreachable: g.members.ReportUnreachable,
+		OnUnanswered:  g.members.ReportUnanswered,
 	})
 	g.retryPolicies = newRetryPolicies()
 	g.divideRetryBudget()
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -28,6 +28,8 @@
 	SessionUp           Event = 1201
 	SessionDown         Event = 1202
 	MemberChanged       Event = 1203
+	DaemonSilent        Event = 1204
+	DaemonAnswers       Event = 1205
 	RequestFailed       Event = 1301
 	RequestQuarantined  Event = 1302
 	RequestEnded        Event = 1303
@@ -77,6 +79,8 @@
 	SessionUp:           {logrus.InfoLevel, "session with a peer is up"},
 	SessionDown:         {logrus.WarnLevel, "session with a peer ended"},
 	MemberChanged:       {logrus.InfoLevel, "member changed its state"},
+	DaemonSilent:        {logrus.WarnLevel, "daemon does not answer; its target groups go to the next owners"},
+	DaemonAnswers:       {logrus.InfoLevel, "silent daemon answers again"},
 	RequestFailed:       {logrus.WarnLevel, "request failed after it was accepted"},
 	RequestQuarantined:  {logrus.WarnLevel, "request fingerprint is quarantined"},
 	RequestEnded:        {logrus.InfoLevel, "request ended"},
--- a/internal/grants/all_groups.go
+++ b/internal/grants/all_groups.go
@@ -12,11 +12,12 @@
 )
 
 // reserveImmediate asks one group after the other for an immediate grant of a target
-// that serves the request in time, the own data centre first. It returns nil if there is
-// none.
+// that serves the request in time, the own data centre first. It leaves out owners that did
+// not reply in time. It returns nil if there is no such target.
 func (c *Client) reserveImmediate(ctx context.Context, request *entry.GrantRequest) *entry.Grant {
 	for _, stage := range []int{stageLocal, stageNearby, stageFar} {
-		for _, pick := range c.choices(stage, request) {
+		replying, _ := c.splitUnanswered(c.choices(stage, request))
+		for _, pick := range replying {
 			pick.immediate = true
 			result := c.askGroup(ctx, request, pick)
 			if result.grant != nil || ctx.Err() != nil {
@@ -113,7 +114,7 @@
 }
 
 // groupsByWait returns all usable groups in order of their expected wait plus the
-// penalty for their distance.
+// penalty for their distance, those whose owners did not reply in time last.
 func (c *Client) groupsByWait(request *entry.GrantRequest) []groupChoice {
 	type groupWait struct {
 		groupChoice
@@ -135,5 +136,6 @@
 	for i, w := range waits {
 		out[i] = w.groupChoice
 	}
-	return out
+	replying, unanswered := c.splitUnanswered(out)
+	return append(replying, unanswered...)
 }
--- a/internal/grants/client.go
+++ b/internal/grants/client.go
@@ -6,15 +6,22 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/entry"
+	"github.com/marjoramflow/marjoramflow/internal/replytime"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/topology"
 )
 
 const (
-	// replyTimeout bounds the wait for any reply of an owner. It is far above a
-	// round trip between regions (24 ms) and far below the first-token time.
-	replyTimeout = 500 * time.Millisecond
+	// minReplyTimeout, maxReplyTimeout and firstReplyTimeout bound the wait for any reply of
+	// an owner, which follows its observed reply times. The minimum leaves time for a busy
+	// processor, and the first wait for a dial and a round trip between regions.
+	minReplyTimeout   = 60 * time.Millisecond
+	maxReplyTimeout   = 500 * time.Millisecond
+	firstReplyTimeout = 200 * time.Millisecond
+	// avoidTime is how long the groups of an owner that did not reply in time are asked
+	// last. A later reply ends it.
+	avoidTime = 500 * time.Millisecond
 	// replyBuffer bounds the unread replies to one request: queued, then granted or
 	// refused.
 	replyBuffer = 4
@@ -54,9 +61,10 @@
 	Sender     Sender
 	Topologies Topologies
 	LinkBudget LinkBudget
-	// OnUnreachable is called when an owner could not be reached or did not answer in
-	// time.
+	// OnUnreachable is called when an owner could not be reached.
 	OnUnreachable func(daemon string)
+	// OnUnanswered is called when an owner did not reply in the usual time.
+	OnUnanswered func(daemon string)
 }
 
 // Client asks owners for grants and tracks the grants in use.
@@ -69,6 +77,12 @@
 	loads   map[topology.Key]*peerpb.GroupLoad
 	// owners are the last known owners of the groups that this daemon has asked.
 	owners map[topology.Key]string
+	// unansweredAt is the time, by owner, at which a reply was missed; a reply clears it.
+	unansweredAt map[string]time.Time
+	// askedAt is the time of each ask without a reply so far. An ask outlives its request,
+	// so that late replies are observed too.
+	askedAt    map[ask]time.Time
+	replyTimes *replytime.Estimator
 	// resyncTimers holds the timer of each owner for which a later resync is due.
 	resyncTimers map[string]*time.Timer
 }
@@ -106,6 +120,9 @@
 
 		owners:       make(map[topology.Key]string),
 		resyncTimers: make(map[string]*time.Timer),
+		unansweredAt: make(map[string]time.Time),
+		askedAt:      make(map[ask]time.Time),
+		replyTimes:   replytime.New(replytime.Bounds{Min: minReplyTimeout, Max: maxReplyTimeout, Initial: firstReplyTimeout}),
 	}
 }
 
@@ -208,6 +225,7 @@
 
 func (c *Client) onReply(from string, reply *peerpb.ReserveReply) {
 	c.mu.Lock()
+	c.observeReply(from, reply.Id)
 	p := c.pending[reply.Id]
 	if p != nil && p.owner == from {
 		c.storeLoad(p.key, reply.Load)
--- a/internal/grants/handover.go
+++ b/internal/grants/handover.go
@@ -45,7 +45,8 @@
 
 // Run resyncs with all owners every resyncInterval until the context ends.
 func (c *Client) Run(ctx context.Context) error {
-	return ctxtime.RunEvery(ctx, resyncInterval, func(time.Time) {
+	return ctxtime.RunEvery(ctx, resyncInterval, func(now time.Time) {
+		c.dropOldAsks(now)
 		for _, daemon := range c.askedOwners() {
 			c.resync(daemon)
 		}
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -302,13 +302,14 @@
 	c.mu.Lock()
 	p := c.addPending(*request, reserve, pick.key, pick.owner)
 	c.recordOwner(pick)
+	c.recordAsk(ask{id: reserve.Id, owner: pick.owner})
 	c.mu.Unlock()
 	if err := c.Sender.Send(pick.owner, envelope(reserve)); err != nil {
 		c.removePending(p)
 		c.OnUnreachable(pick.owner)
 		return askResult{unanswered: true}
 	}
-	timer := time.NewTimer(replyTimeout)
+	timer := time.NewTimer(c.replyTimes.Bound(pick.owner))
 	defer timer.Stop()
 	return c.awaitReply(ctx, p, timer.C)
 }
@@ -351,7 +352,7 @@
 			return askResult{resend: true}
 		case <-timer:
 			c.cancel(p)
-			c.OnUnreachable(p.owner)
+			c.recordUnanswered(p.owner)
 			return askResult{unanswered: true}
 		case <-ctx.Done():
 			c.cancel(p)
--- a/internal/members/manager.go
+++ b/internal/members/manager.go
@@ -2,9 +2,10 @@
 // membership table with the VM list, sessions and gossip, executes the table's
 // actions, and reports which daemons are live in each data centre.
 //
-// A daemon whose session broke and was not restored within reconnectGrace is removed
-// from this daemon's live list before the membership table removes it, which it does
-// after a longer grace period. Entry daemons then use the next owner within a second.
+// A daemon that is silent (membership.Silence), or whose session broke and was not restored
+// within reconnectGrace, is removed from this daemon's live list before the membership table
+// removes it, which it does after a longer grace period. Entry daemons then use the next
+// owner within half a second.
 // Daemons may briefly disagree about the live list. Two of them may then grant slots
 // of the same target group; this exceeds the number of slots for a short time and
 // violates no guarantee.
@@ -56,8 +57,9 @@
 	// OnLiveChanged is called from Run's goroutine when the live daemons of a data centre
 	// changed.
 	OnLiveChanged func(dataCentre string, daemons []string)
-	// OnDaemonDead is called from Run's goroutine when the membership table declares a
-	// daemon dead.
+	// OnDaemonDead is called when the membership table declares a daemon dead, from Run's
+	// goroutine, and when a session with a new process of the daemon is up, from the
+	// goroutine of OnSession and before the first message of that process.
 	OnDaemonDead func(daemon string)
 	// OnVMList is called from Run's goroutine with each VM list, after the OnLiveChanged calls
 	// that result from it.
@@ -75,13 +77,21 @@
 	// first reported unreachable without a session.
 	sessionLostAt map[string]time.Time
 	sessionUp     map[string]bool
+	// silence is accessed only by Run's goroutine; silenceTimer fires when it is due.
+	silence      *membership.Silence
+	silenceTimer *time.Timer
 	// published holds the live list last passed to OnLiveChanged, by data centre.
 	published map[string][]string
 
 	mu sync.Mutex
 	// heardAt is the time of the last reported sign of life, by peer.
-	heardAt     map[string]time.Time
-	lastMembers []membership.Member
+	heardAt map[string]time.Time
+	// questioned are the daemons that are asked for a sign of life or silent. Each of
+	// their frames is reported.
+	questioned map[string]bool
+	// incarnations are those of the latest sessions, by daemon.
+	incarnations map[string]uint64
+	lastMembers  []membership.Member
 }
 
 // New returns a Manager. SetMesh must be called before Run.
@@ -92,6 +102,9 @@
 		table:         membership.NewTable(membership.Config{Self: config.Self}, time.Now()),
 		sessionLostAt: make(map[string]time.Time),
 		sessionUp:     make(map[string]bool),
+		incarnations:  make(map[string]uint64),
+		silence:       membership.NewSilence(),
+		questioned:    make(map[string]bool),
 		published:     make(map[string][]string),
 		heardAt:       make(map[string]time.Time),
 	}
@@ -106,6 +119,8 @@
 func (m *Manager) Run(ctx context.Context) error {
 	ticker := time.NewTicker(membership.TickInterval)
 	defer ticker.Stop()
+	m.silenceTimer = time.NewTimer(membership.TickInterval)
+	defer m.silenceTimer.Stop()
 	m.applySeeds()
 	m.publish(time.Now())
 	for {
@@ -114,6 +129,8 @@
 			return nil
 		case handle := <-m.events.Items():
 			handle(time.Now())
+		case now := <-m.silenceTimer.C:
+			m.checkSilence(now)
 		case now := <-ticker.C:
 			m.perform(m.table.Tick(now))
 			m.publish(now)
@@ -161,6 +178,9 @@
 // OnSession reports that the session with a daemon was established or broke. The hello
 // may be nil when it broke.
 func (m *Manager) OnSession(name string, up bool, hello *peerpb.Hello) {
+	if up {
+		m.noteProcess(name, hello.Incarnation)
+	}
 	m.events.TryPush(func(now time.Time) {
 		m.sessionUp[name] = up
 		if !up {
@@ -170,6 +190,8 @@
 			return
 		}
 		delete(m.sessionLostAt, name)
+		m.silence.Restarted(name)
+		m.setQuestioned(name, false)
 		m.perform(m.table.SessionUp(now, membership.Member{
 			Name:        name,
 			DataCentre:  hello.DataCentre,
@@ -182,23 +204,28 @@
 // OnMessage handles a frame of a peer: gossip is merged, and any other frame counts as a
 // sign of life. It reports whether the frame was gossip.
 func (m *Manager) OnMessage(from string, message *peerpb.Envelope) bool {
-	if body, ok := message.Body.(*peerpb.Envelope_Members); ok {
+	if m.shouldReportHeard(from) {
+		m.events.TryPush(func(now time.Time) { m.onFrame(now, from) })
+	}
+	switch body := message.Body.(type) {
+	case *peerpb.Envelope_Members:
 		members := membership.FromProto(body.Members)
 		m.events.TryPush(func(now time.Time) { m.perform(m.table.Merge(now, from, members)) })
 		return true
-	}
-	if m.shouldReportHeard(from) {
-		m.events.TryPush(func(now time.Time) { m.perform(m.table.FrameReceived(now, from)) })
+	case *peerpb.Envelope_Unanswered:
+		m.events.TryPush(func(now time.Time) { m.onUnansweredReport(now, from, body.Unanswered.Daemon) })
+		return true
 	}
 	return false
 }
 
-// shouldReportHeard limits the signs of life of one peer to one per heardInterval.
+// shouldReportHeard limits the signs of life of one peer to one per heardInterval, except
+// for a peer that is questioned.
 func (m *Manager) shouldReportHeard(from string) bool {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if now.Sub(m.heardAt[from]) < heardInterval {
+	if now.Sub(m.heardAt[from]) < heardInterval && !m.questioned[from] {
 		return false
 	}
 	m.heardAt[from] = now
@@ -339,9 +366,12 @@
 	m.mu.Unlock()
 }
 
-// isExcluded reports whether a daemon is left out of the live list because its session was
-// not restored within reconnectGrace.
+// isExcluded reports whether a daemon is left out of the live list because it is silent, or
+// because its session was not restored within reconnectGrace.
 func (m *Manager) isExcluded(now time.Time, name string) bool {
+	if m.silence.IsSilent(name) {
+		return true
+	}
 	lostAt, lost := m.sessionLostAt[name]
 	return lost && now.Sub(lostAt) >= reconnectGrace
 }
--- a/internal/owners/messages.go
+++ b/internal/owners/messages.go
@@ -33,11 +33,25 @@
 		mgr.sendDecisions(k, s, s.group.Reserve(now, decodeRequest(now, from, m)))
 		return
 	}
-	// Beyond the limit, a request gets no reply; its entry asks another group after
-	// its timeout.
-	if len(s.earlyRequests) < maxEarlyRequests {
-		s.earlyRequests = append(s.earlyRequests, earlyRequest{entry: from, arrivedAt: now, reserve: m})
-	}
+	load := mgr.groupLoad(k, s)
+	load.FreeSlots = 0
+	load.PredictedWaitMs = uint32(max(0, s.opensAt.Sub(now)).Milliseconds())
+	mgr.sendReply(from, &peerpb.ReserveReply{
+		Id:           m.Id,
+		Outcome:      s.addEarlyRequest(now, from, m),
+		RetryAfterMs: load.PredictedWaitMs,
+		Load:         load,
+	})
+}
+
+// addEarlyRequest queues a request until the group opens. A request for an immediate grant,
+// and one beyond maxEarlyRequests, is refused.
+func (s *groupState) addEarlyRequest(now time.Time, from string, m *peerpb.Reserve) peerpb.ReserveOutcome {
+	if m.Immediate || len(s.earlyRequests) >= maxEarlyRequests {
+		return peerpb.ReserveOutcome_RESERVE_REFUSED
+	}
+	s.earlyRequests = append(s.earlyRequests, earlyRequest{entry: from, arrivedAt: now, reserve: m})
+	return peerpb.ReserveOutcome_RESERVE_QUEUED
 }
 
 func (mgr *Manager) cancel(now time.Time, m *peerpb.CancelReserve) {
--- a/internal/owners/protocol_test.go
+++ b/internal/owners/protocol_test.go
@@ -58,13 +58,20 @@
 }
 func (n *node) Nearby() []*topology.Topology      { return nil }
 func (n *node) Far() []*topology.Topology         { return nil }
-func (n *node) Target(name string) *object.Target { return testIndex.Target(name) }
+func (n *node) Target(name string) *object.Target { return n.network.index.Target(name) }
 func (n *node) TryCharge(int, int, int) bool      { return false }
 
+// recordUnreachable records a daemon that could not be reached or did not answer.
+func (n *node) recordUnreachable(daemon string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unreachable = append(n.unreachable, daemon)
+}
+
 // setLive sets the daemons that the node considers live.
 func (n *node) setLive(live []string) {
 	n.mu.Lock()
-	n.topology = topology.Build(testIndex, "a", live)
+	n.topology = topology.Build(n.network.index, "a", live)
 	n.mu.Unlock()
 	n.manager.SetTopology(n.Local(), len(live))
 	n.client.TopologyChanged()
@@ -75,6 +82,8 @@
 
 // network simulates the network between daemons, with faults.
 type network struct {
+	index *object.Index
+
 	mu    sync.Mutex
 	rng   *rand.Rand
 	nodes map[string]*node
@@ -135,7 +144,7 @@
 }
 
 func newNetwork(seed uint64) *network {
-	return &network{rng: rand.New(rand.NewPCG(seed, 3)), nodes: map[string]*node{}, down: map[link]bool{}, lastDue: map[link]time.Time{}, session: map[link]int{}}
+	return &network{index: testIndex, rng: rand.New(rand.NewPCG(seed, 3)), nodes: map[string]*node{}, down: map[link]bool{}, lastDue: map[link]time.Time{}, session: map[link]int{}}
 }
 
 func (net *network) startNode(t *testing.T, name string) *node {
@@ -149,11 +158,7 @@
 			n.replaced = append(n.replaced, target)
 		},
 	})
-	n.client = grants.New(grants.Config{Self: name, Sender: nodeSender{net, name}, Topologies: n, LinkBudget: n, OnUnreachable: func(daemon string) {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		n.unreachable = append(n.unreachable, daemon)
-	}})
+	n.client = grants.New(grants.Config{Self: name, Sender: nodeSender{net, name}, Topologies: n, LinkBudget: n, OnUnreachable: n.recordUnreachable, OnUnanswered: n.recordUnreachable})
 	ctx, cancel := context.WithCancel(t.Context())
 	n.cancel = cancel
 	go func() { _ = n.manager.Run(ctx) }()
--- a/peer/stats.go
+++ b/peer/stats.go
@@ -35,7 +35,7 @@
 var kindNameByNumber = kindNames()
 
 // kindCount is one more than the highest field number of Envelope.
-const kindCount = 26
+const kindCount = 27
 
 type kindCounter struct {
 	messages atomic.Uint64
