Reuse connections to targets for requests that must not run twice

Change: such a request takes an idle connection that was used less than 0.9 s ago, to a target that has not broken or filled an idle one in the last 10 s; otherwise a new one. A request is still written once: a lost race ends with an unknown outcome and is not sent again (tested for both kinds). A complete late answer to an earlier request is skipped on a reused connection, recognized by its id; the test that demanded an error there now demands the request's own answer, and an error where the extra answer has no end or no id. Stats.Poisoned counts; DropIdle has a caller.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -24,10 +25,14 @@
 type Call struct {
 	// Address is the IP:port of the target.
 	Address string
-	// NewConnection forces a new connection, for requests that must not run twice: the
-	// target may have closed an idle one already, and then it is unknown whether the
-	// request ran.
-	NewConnection bool
+	// Once is set for a request that must not run twice. It is written once like every
+	// other; if the target closes a reused connection at that moment, its outcome is unknown.
+	// So it goes only on connections on which that is unlikely.
+	Once bool
+	// OwnAnswer reports whether an answer with this header is that to the request. Others on
+	// a reused connection are late answers to earlier requests and are skipped. If nil, every
+	// answer is taken for the request's own.
+	OwnAnswer func(http.Header) bool
 	// Method, URI and Host are written to the request unchanged.
 	Method, URI, Host string
 	Header            []Field
@@ -62,23 +67,53 @@
 // connection is closed when the context ends, also while the body is read. If that
 // happens before the answer's headers were read, the error is the context's cause.
 func (p *Pool) Send(ctx context.Context, call *Call) (*Exchange, error) {
-	c, err := p.connect(ctx, call.Address, call.NewConnection)
+	c, err := p.connect(ctx, call)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	e := &Exchange{NewConnection: c.idleUntil.IsZero(), pool: p, call: call, conn: c, writeResult: make(chan error, 1)}
 	e.stopCancelHook = context.AfterFunc(ctx, func() { c.Close() })
 	e.writeRequest()
-	if err := e.readHead(); err != nil {
+	if err := e.readAnswer(); err != nil {
 		e.Close()
 		if ctx.Err() != nil {
-			err = context.Cause(ctx)
+			return nil, context.Cause(ctx)
+		}
+		if !e.NewConnection && !errors.Is(err, os.ErrDeadlineExceeded) {
+			p.poison(call.Address)
 		}
 		return nil, err
 	}
 	return e, nil
 }
 
+// maxSkippedAnswers and maxSkippedBytes bound the late answers to earlier requests that are
+// skipped on a reused connection.
+const (
+	maxSkippedAnswers = 2
+	maxSkippedBytes   = 256 << 10
+)
+
+var errNotOwnAnswer = errors.New("the connection carries answers to earlier requests")
+
+// readAnswer reads the head of the answer to the request. On a reused connection it skips
+// complete late answers to earlier requests.
+func (e *Exchange) readAnswer() error {
+	for range maxSkippedAnswers + 1 {
+		if err := e.readHead(); err != nil {
+			return err
+		}
+		if e.NewConnection || e.call.OwnAnswer == nil || e.call.OwnAnswer(e.Header) {
+			return nil
+		}
+		e.pool.poison(e.call.Address)
+		if n, err := io.Copy(io.Discard, io.LimitReader(e.response.Body, maxSkippedBytes)); err != nil || n == maxSkippedBytes {
+			break
+		}
+	}
+	return errNotOwnAnswer
+}
+
 // maxInlineBodyBytes is the largest body that is written before the answer is read. It
 // fits into the buffers of a socket, so the write does not block. A larger body is
 // written concurrently, because a target may answer before it has read all of it.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -37,6 +37,13 @@
 	// services accept about 100 connections from 8 daemons together, and fewer while
 	// requests queue there.
 	maxIdlePerTarget = 4
+	// maxOnceIdle is how long ago a connection may have been used to carry a request that
+	// must not run twice. Targets close idle connections after a second or more, and a
+	// request that crosses such a close has an unknown outcome.
+	maxOnceIdle = 900 * time.Millisecond
+	// distrustTime is how long such requests get new connections to a target after it ended
+	// an idle connection, or sent bytes on one, before the time that it states.
+	distrustTime = 10 * time.Second
 	// readBufferBytes is the size of a connection's read buffer. It is larger than usual
 	// answer headers and small compared with the memory of a VM.
 	readBufferBytes = 4 << 10
@@ -54,9 +61,9 @@
 
 // Stats holds totals since the pool was created.
 type Stats struct {
-	// Dialled and Reused count the connections that requests were sent on. Poisoned is
-	// for connections that were closed because bytes arrived while they were idle; it is
-	// not counted yet.
+	// Dialled and Reused count the connections that requests were sent on. Poisoned counts
+	// idle connections that their target ended or sent bytes on, and reused ones that it
+	// ended without an answer or answered with an answer to an earlier request.
 	Dialled, Reused, Poisoned uint64
 }
 
@@ -68,15 +75,18 @@
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	stats Stats
+	// distrustedUntil is the time, by address, until which requests that must not run twice
+	// get new connections.
+	distrustedUntil map[string]time.Time
 }
 
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// idleUntil is the time until which the connection may stay idle. It is zero for a
-	// connection that was never idle.
-	idleUntil time.Time
+	// idleSince is the time of the connection's last use and idleUntil the time until which
+	// it may stay idle. Both are zero for a connection that was never idle.
+	idleSince, idleUntil time.Time
 	// headBytesLeft is how many bytes of an answer's status line and headers may still be
 	// read. It is negative while a body is read, which has no such bound.
 	headBytesLeft int
@@ -106,7 +116,8 @@
 		options.DialTimeout = defaultDialTimeout
 	}
 	return &Pool{
-		idle: make(map[string][]*conn),
+		idle:            make(map[string][]*conn),
+		distrustedUntil: make(map[string]time.Time),
 		dialer: net.Dialer{
 			Timeout: options.DialTimeout,
 			Control: setUserTimeout,
@@ -136,21 +147,36 @@
 	return p.stats
 }
 
-// connect returns a connection to an address. It reuses an idle one that is neither
-// expired nor has pending data, unless newConnection is set, and otherwise dials.
-func (p *Pool) connect(ctx context.Context, address string, newConnection bool) (*conn, error) {
-	for !newConnection {
-		c := p.takeIdle(address)
+// connect returns a connection for a call. It reuses an idle one that is neither expired nor
+// has pending data, and otherwise dials. A call that must not run twice reuses only a
+// connection that was used just now, to a target that is not distrusted.
+func (p *Pool) connect(ctx context.Context, call *Call) (*conn, error) {
+	for !call.Once || !p.isDistrusted(call.Address) {
+		c := p.takeIdle(call.Address)
 		if c == nil {
 			break
 		}
-		if time.Now().After(c.idleUntil) || c.hasPendingData() {
+		now := time.Now()
+		switch {
+		case now.After(c.idleUntil):
 			c.Close()
-			continue
+		case c.hasPendingData():
+			p.poison(call.Address)
+			c.Close()
+		case call.Once && now.Sub(c.idleSince) > maxOnceIdle:
+			// The connections below it on the stack have been idle for longer still.
+			p.returnIdle(call.Address, c)
+			return p.dial(ctx, call.Address)
+		default:
+			p.updateStats(func(s *Stats) { s.Reused++ })
+			return c, nil
 		}
-		p.updateStats(func(s *Stats) { s.Reused++ })
-		return c, nil
 	}
+	return p.dial(ctx, call.Address)
+}
+
+// dial opens a new connection to an address.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -161,6 +187,24 @@
 	return c, nil
 }
 
+// poison records that a target broke an idle connection or sent bytes on it. Its other idle
+// connections are closed, since they may be in the same state.
+func (p *Pool) poison(address string) {
+	p.mu.Lock()
+	p.stats.Poisoned++
+	p.distrustedUntil[address] = time.Now().Add(distrustTime)
+	p.mu.Unlock()
+	p.DropIdle(address)
+}
+
+// isDistrusted reports whether requests that must not run twice get new connections to an
+// address.
+func (p *Pool) isDistrusted(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.distrustedUntil[address])
+}
+
 // CheckReachable opens a connection to an address and closes it again. It returns the
 // error of the dial.
 func (p *Pool) CheckReachable(ctx context.Context, address string) error {
@@ -194,10 +238,16 @@
 	return c
 }
 
-// putIdle returns a connection to the pool for at most the duration idle. It closes the
-// connection if the target already has maxIdlePerTarget idle ones.
+// putIdle returns a used connection to the pool for at most the duration idle. It is closed
+// if the target already has maxIdlePerTarget idle ones.
 func (p *Pool) putIdle(address string, c *conn, idle time.Duration) {
-	c.idleUntil = time.Now().Add(idle)
+	c.idleSince = time.Now()
+	c.idleUntil = c.idleSince.Add(idle)
+	p.returnIdle(address, c)
+}
+
+// returnIdle puts a connection on the stack of idle ones.
+func (p *Pool) returnIdle(address string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[address]) >= maxIdlePerTarget {
@@ -207,8 +257,7 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-// DropIdle closes the idle connections to an address, after its target has left or
-// stopped responding.
+// DropIdle closes the idle connections to an address.
 func (p *Pool) DropIdle(address string) {
 	p.mu.Lock()
 	conns := p.idle[address]
@@ -231,6 +280,11 @@
 func (p *Pool) sweep(now time.Time) {
 	var expired []*conn
 	p.mu.Lock()
+	for address, until := range p.distrustedUntil {
+		if !now.Before(until) {
+			delete(p.distrustedUntil, address)
+		}
+	}
 	for address, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
