--- a/bench/internal/cli/root.go
+++ b/bench/internal/cli/root.go
@@ -11,6 +11,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(standinCommand(), naiveCommand(), measureCommand(), demoCommand(), daemonCommand(), soakCommand())
+	root.AddCommand(standinCommand(), naiveCommand(), measureCommand(), demoCommand(), daemonCommand(), soakCommand(), lossesCommand())
 	return root
 }
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -76,6 +76,9 @@
 		"targets": trace.Targets,
 		"waitMs":  trace.QueueWait.Milliseconds(),
 		"gapMs":   trace.MaxGap.Milliseconds(),
+		// The objective and the retry say whether the answer was in time.
+		"objectiveMs": r.Ingress.Objective.Milliseconds(),
+		"callerRetry": r.CallerRetry,
 	}
 	fields["account"] = accountOf(r)
 	if len(trace.Failures) > 0 {
