owners: grant half of the slots at once after a takeover

Owners were configured 13 ms after the start and granted 240 ms after it: a new owner held every request for 200 ms so that entries could register their grants. Change: a new owner grants half of the slots of each target at once, and all of them after 200 ms; grants that are registered meanwhile count.

--- a/internal/owners/groups.go
+++ b/internal/owners/groups.go
@@ -26,7 +26,7 @@
 		k := groupKey{service: g.Service, number: g.Number}
 		owned[k] = true
 		if mgr.groups[k] == nil {
-			mgr.groups[k] = mgr.newGroupState(k, now.Add(takeoverDelay))
+			mgr.groups[k] = mgr.newGroupState(k, now.Add(takeoverTime))
 		}
 	}
 	for k, s := range mgr.groups {
@@ -39,12 +39,12 @@
 	mgr.setDetectorTargets(now)
 }
 
-func (mgr *Manager) newGroupState(k groupKey, opensAt time.Time) *groupState {
+func (mgr *Manager) newGroupState(k groupKey, takenOverAt time.Time) *groupState {
 	options := mgr.groupOptions
 	options.Model = mgr.model
 	return &groupState{
-		group:   owner.NewGroup(k.service, k.number, options),
-		opensAt: opensAt,
+		group:       owner.NewGroup(k.service, k.number, options),
+		takenOverAt: takenOverAt,
 	}
 }
 
@@ -53,7 +53,7 @@
 	targets := mgr.groupTargets(k)
 	infos := make([]owner.TargetInfo, len(targets))
 	for i, t := range targets {
-		infos[i] = mgr.targetInfo(k, t)
+		infos[i] = mgr.targetInfo(k, s, t)
 	}
 	mgr.sendDecisions(k, s, s.group.SetTargets(now, infos))
 	for _, t := range targets {
@@ -76,10 +76,13 @@
 	return targets
 }
 
-func (mgr *Manager) targetInfo(k groupKey, t *object.Target) owner.TargetInfo {
+func (mgr *Manager) targetInfo(k groupKey, s *groupState, t *object.Target) owner.TargetInfo {
 	slots := t.Slots
-	if k.number >= grants.FallbackGroup {
+	switch {
+	case k.number >= grants.FallbackGroup:
 		slots = max(1, slots/mgr.fallbackShare)
+	case !s.takenOver:
+		slots = max(1, slots/takeoverSlotsDivisor)
 	}
 	return owner.TargetInfo{
 		Name:     t.Name,
@@ -107,25 +110,14 @@
 	return mgr.stateWithEjection(t.Name)
 }
 
-// openGroup lets a group grant. The requests that arrived before are reserved first,
-// in the order and with the time of their arrival.
-func (mgr *Manager) openGroup(now time.Time, k groupKey, s *groupState) {
-	s.open = true
-	early := s.earlyRequests
-	s.earlyRequests = nil
-	for _, e := range early {
-		r := decodeRequest(e.arrivedAt, e.entry, e.reserve)
-		mgr.sendDecisions(k, s, s.group.Reserve(now, r))
-	}
-}
-
-// tick evaluates the targets, opens groups whose takeover delay is over and handles
-// deadlines.
+// tick evaluates the targets, gives the groups whose takeover is over all their slots and
+// handles deadlines.
 func (mgr *Manager) tick(now time.Time) {
 	mgr.evaluateTargets(now)
 	for k, s := range mgr.groups {
-		if !s.open && !now.Before(s.opensAt) {
-			mgr.openGroup(now, k, s)
+		if !s.takenOver && !now.Before(s.takenOverAt) {
+			s.takenOver = true
+			mgr.applyTargets(now, k, s)
 		}
 		mgr.sendDecisions(k, s, s.group.Tick(now))
 	}
--- a/internal/owners/manager.go
+++ b/internal/owners/manager.go
@@ -20,9 +20,12 @@
 	// tickInterval is the precision of deadlines of waiting requests. Shorter ticks
 	// would wake an idle daemon more often without benefit.
 	tickInterval = 50 * time.Millisecond
-	// takeoverDelay is the time between becoming the owner of a group and its first
-	// grant. During it, entries register the grants that they hold.
-	takeoverDelay = 200 * time.Millisecond
+	// takeoverTime is the time after becoming the owner of a group in which entries register
+	// the grants that they hold. A part of the slots is granted meanwhile: a grant that the
+	// new owner does not know yet may take a slot twice, and then the target queues.
+	takeoverTime = 200 * time.Millisecond
+	// takeoverSlotsDivisor divides the slots of a target for takeoverTime.
+	takeoverSlotsDivisor = 2
 )
 
 // Sender sends messages to daemons without blocking.
@@ -62,25 +65,13 @@
 	number  int
 }
 
-// groupState is one group and whether it grants already.
+// groupState is one group and whether its takeover from another owner is over.
 type groupState struct {
-	group   *owner.Group
-	opensAt time.Time
-	open    bool
-	// earlyRequests are the requests that arrived before the group opened.
-	earlyRequests []earlyRequest
+	group       *owner.Group
+	takenOverAt time.Time
+	takenOver   bool
 }
 
-// earlyRequest is a request that waits for its group to open.
-type earlyRequest struct {
-	entry     string
-	arrivedAt time.Time
-	reserve   *peerpb.Reserve
-}
-
-// maxEarlyRequests bounds the requests that wait for one group to open.
-const maxEarlyRequests = 4096
-
 // event handles one input of the manager. Run calls it.
 type event func(now time.Time)
 
--- a/internal/owners/messages.go
+++ b/internal/owners/messages.go
@@ -1,7 +1,6 @@
 package owners
 
 import (
-	"slices"
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/internal/grants"
@@ -16,7 +15,7 @@
 	s := mgr.groups[k]
 	if s == nil && k.number >= grants.FallbackGroup && from == mgr.self {
 		s = mgr.newGroupState(k, now)
-		s.open = true
+		s.takenOver = true
 		mgr.groups[k] = s
 		mgr.applyTargets(now, k, s)
 	}
@@ -29,29 +28,7 @@
 		mgr.sendReply(from, &peerpb.ReserveReply{Id: m.Id, Outcome: peerpb.ReserveOutcome_RESERVE_NOT_OWNER})
 		return
 	}
-	if s.open {
-		mgr.sendDecisions(k, s, s.group.Reserve(now, decodeRequest(now, from, m)))
-		return
-	}
-	load := mgr.groupLoad(k, s)
-	load.FreeSlots = 0
-	load.PredictedWaitMs = uint32(max(0, s.opensAt.Sub(now)).Milliseconds())
-	mgr.sendReply(from, &peerpb.ReserveReply{
-		Id:           m.Id,
-		Outcome:      s.addEarlyRequest(now, from, m),
-		RetryAfterMs: load.PredictedWaitMs,
-		Load:         load,
-	})
-}
-
-// addEarlyRequest queues a request until the group opens. A request for an immediate grant,
-// and one beyond maxEarlyRequests, is refused.
-func (s *groupState) addEarlyRequest(now time.Time, from string, m *peerpb.Reserve) peerpb.ReserveOutcome {
-	if m.Immediate || len(s.earlyRequests) >= maxEarlyRequests {
-		return peerpb.ReserveOutcome_RESERVE_REFUSED
-	}
-	s.earlyRequests = append(s.earlyRequests, earlyRequest{entry: from, arrivedAt: now, reserve: m})
-	return peerpb.ReserveOutcome_RESERVE_QUEUED
+	mgr.sendDecisions(k, s, s.group.Reserve(now, decodeRequest(now, from, m)))
 }
 
 func (mgr *Manager) cancel(now time.Time, m *peerpb.CancelReserve) {
@@ -59,7 +36,6 @@
 	if s == nil {
 		return
 	}
-	s.earlyRequests = slices.DeleteFunc(s.earlyRequests, func(e earlyRequest) bool { return e.reserve.Id == m.Id })
 	mgr.sendDecisions(k, s, s.group.Cancel(now, m.Id))
 }
 
