--- a/bench/internal/losses/usage.go
+++ b/bench/internal/losses/usage.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -15,21 +16,27 @@
 // usageStep is the time between two samples of the slots in use.
 const usageStep = 50 * time.Millisecond
 
-// Usage holds the slots in use over time. The slots of a target are taken to be the most
-// requests that ran on it at once.
+// Usage holds the slots in use at the start of each step. The slots of a target are taken to
+// be the most requests that ran on it at such a moment.
 type Usage struct {
 	// inUse is the number of running requests in each step, by service and tier.
-	inUse map[class][]int
-	// slots is the number of slots of each service.
-	slots map[string]int
+	inUse   map[class][]int
+	targets []targetUse
+}
+
+// targetUse is one target, the first and the last step in which it ran a request, and its
+// slots. Outside of these steps it counts as absent.
+type targetUse struct {
+	service            string
+	first, last, slots int
 }
 
 type class struct{ service, tier string }
 
 // NewUsage derives the slots in use from the times between grant and end of requests.
 func NewUsage(log *Log) *Usage {
-	u := &Usage{inUse: make(map[class][]int), slots: make(map[string]int)}
-	byTarget := make(map[string]map[int]int)
+	u := &Usage{inUse: make(map[class][]int)}
+	running := make(map[string]map[int]int)
 	serviceOf := make(map[string]string)
 	for i := range log.Requests {
 		r := &log.Requests[i]
@@ -37,24 +44,24 @@
 			continue
 		}
 		serviceOf[r.Target] = r.Service
-		if byTarget[r.Target] == nil {
-			byTarget[r.Target] = make(map[int]int)
+		if running[r.Target] == nil {
+			running[r.Target] = make(map[int]int)
 		}
 		c := class{r.Service, r.Tier}
-		for step := stepOf(r.Granted); step <= stepOf(r.Ended); step++ {
-			byTarget[r.Target][step]++
+		for step := stepOf(r.Granted) + 1; step <= stepOf(r.Ended); step++ {
+			running[r.Target][step]++
 			for len(u.inUse[c]) <= step {
 				u.inUse[c] = append(u.inUse[c], 0)
 			}
 			u.inUse[c][step]++
 		}
 	}
-	for target, steps := range byTarget {
-		most := 0
-		for _, n := range steps {
-			most = max(most, n)
+	for target, steps := range running {
+		use := targetUse{service: serviceOf[target], first: math.MaxInt}
+		for step, n := range steps {
+			use.first, use.last, use.slots = min(use.first, step), max(use.last, step), max(use.slots, n)
 		}
-		u.slots[serviceOf[target]] += most
+		u.targets = append(u.targets, use)
 	}
 	return u
 }
@@ -65,16 +72,21 @@
 
 // FreeShare returns the share of the slots of a service that was free at a time.
 func (u *Usage) FreeShare(service string, at time.Duration) float64 {
-	if u.slots[service] == 0 {
-		return 0
+	step, slots, busy := stepOf(at), 0, 0
+	for _, t := range u.targets {
+		if t.service == service && t.first <= step && step <= t.last {
+			slots += t.slots
+		}
 	}
-	busy := 0
 	for c, steps := range u.inUse {
-		if step := stepOf(at); c.service == service && step < len(steps) {
+		if c.service == service && step < len(steps) {
 			busy += steps[step]
 		}
 	}
-	return 1 - float64(busy)/float64(u.slots[service])
+	if slots == 0 {
+		return 0
+	}
+	return 1 - float64(busy)/float64(slots)
 }
 
 // Plot writes a plot of the slots in use by class over time to a file; its extension names
