--- a/internal/members/manager_test.go
+++ b/internal/members/manager_test.go
@@ -18,14 +18,37 @@
 	"github.com/marjoramflow/marjoramflow/rendezvous"
 )
 
-// recordingMesh records the daemons that it was asked to connect to.
+// recordingMesh records the daemons that it was asked to connect to, those that were pinged
+// and those that were reported as dead.
 type recordingMesh struct {
 	mu       sync.Mutex
 	connects []string
+	pinged   []string
+	dead     []string
 }
 
-func (m *recordingMesh) Send(string, *peerpb.Envelope) error { return nil }
-func (m *recordingMesh) SetPeers([]peer.Address)             {}
+func (m *recordingMesh) SetPeers([]peer.Address) {}
+
+func (m *recordingMesh) Send(to string, message *peerpb.Envelope) error {
+	if message.GetPing() != nil {
+		m.record(&m.pinged, to)
+	}
+	return nil
+}
+
+// record appends a daemon to one of the lists.
+func (m *recordingMesh) record(list *[]string, name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	*list = append(*list, name)
+}
+
+// recorded returns a copy of one of the lists.
+func (m *recordingMesh) recorded(list *[]string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(*list)
+}
 
 func (m *recordingMesh) Connect(name string) {
 	m.mu.Lock()
@@ -82,7 +105,7 @@
 					lastLive = daemons
 				}
 			},
-			OnDaemonDead: func(string) {}, OnVMList: func([]provider.VM) {},
+			OnDaemonDead: func(daemon string) { mesh.record(&mesh.dead, daemon) }, OnVMList: func([]provider.VM) {},
 		})
 		manager.SetMesh(mesh)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -137,3 +160,48 @@
 		assert.DeepEqual(t, live(), remoteDaemons)
 	})
 }
+
+// Answers the pattern "an owner lost power in a burst": guards against a silent daemon that
+// stays live until its probes are missed, and against one that stays excluded after it was
+// heard.
+func TestSilentDaemonIsExcludedUntilItIsHeard(t *testing.T) {
+	runManager(t, func(manager *Manager, mesh *recordingMesh, live func() []string) {
+		silent := unprobedDaemon()
+		time.Sleep(heardInterval)
+		manager.ReportUnanswered(silent)
+		synctest.Wait()
+		assert.DeepEqual(t, mesh.recorded(&mesh.pinged), []string{silent})
+		assert.DeepEqual(t, live(), remoteDaemons)
+		time.Sleep(700 * time.Millisecond)
+		assert.Assert(t, !slices.Contains(live(), silent))
+		manager.OnMessage(silent, &peerpb.Envelope{Body: &peerpb.Envelope_Pong{Pong: &peerpb.Pong{}}})
+		synctest.Wait()
+		assert.DeepEqual(t, live(), remoteDaemons)
+	})
+}
+
+// Guards against a slow verdict although another daemon misses an answer too.
+func TestReportOfAnotherDaemonShortensTheWait(t *testing.T) {
+	runManager(t, func(manager *Manager, _ *recordingMesh, live func() []string) {
+		silent := unprobedDaemon()
+		time.Sleep(heardInterval)
+		manager.ReportUnanswered(silent)
+		manager.OnMessage("other", &peerpb.Envelope{Body: &peerpb.Envelope_Unanswered{Unanswered: &peerpb.Unanswered{Daemon: silent}}})
+		time.Sleep(300 * time.Millisecond)
+		assert.Assert(t, !slices.Contains(live(), silent))
+	})
+}
+
+// Guards against slots that stay in use by the requests of a process that was killed, and
+// against dropping the requests of a process whose session only broke.
+func TestNewProcessEndsTheRequestsOfTheOldOne(t *testing.T) {
+	runManager(t, func(manager *Manager, mesh *recordingMesh, _ func() []string) {
+		name := unprobedDaemon()
+		manager.OnSession(name, false, nil)
+		manager.OnSession(name, true, &peerpb.Hello{Name: name, DataCentre: "b", Incarnation: 10})
+		assert.Equal(t, len(mesh.recorded(&mesh.dead)), 0)
+		manager.OnSession(name, false, nil)
+		manager.OnSession(name, true, &peerpb.Hello{Name: name, DataCentre: "b", Incarnation: 11})
+		assert.DeepEqual(t, mesh.recorded(&mesh.dead), []string{name})
+	})
+}
--- a/internal/members/silence.go
+++ b/internal/members/silence.go
@@ -108,6 +108,8 @@
 	}
 }
 
+// setQuestioned sets whether each frame of a daemon is reported, and not only one in each
+// heardInterval.
 func (m *Manager) setQuestioned(name string, questioned bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
