--- a/bench/internal/losses/usage.go
+++ b/bench/internal/losses/usage.go
@@ -17,7 +17,8 @@
 const usageStep = 50 * time.Millisecond
 
 // Usage holds the slots in use at the start of each step. The slots of a target are taken to
-// be the most requests that ran on it at such a moment.
+// be the most requests that ran on it at such a moment. Requests that ran when their daemon
+// was killed have no line in the log, so the slots in use seem to sink in the seconds before.
 type Usage struct {
 	// inUse is the number of running requests in each step, by service and tier.
 	inUse   map[class][]int
