catalog: make two tests of pushes independent of goroutine order

The new test of a gap had the same fault between two pushes. Change: the manifest is put first, and the pushes wait together behind an installation; the assertions are as strict.

--- a/catalog/await_push_test.go
+++ b/catalog/await_push_test.go
@@ -94,8 +94,9 @@
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		var tasks sync.WaitGroup
-		tasks.Go(func() { _ = w.RunOperator(ctx) })
+		// The first snapshot has to contain the manifest, since nobody announces it.
 		source.put(OperatorTopic, Record{Key: "config", Manifest: manifest(1, "s")})
+		tasks.Go(func() { _ = w.RunOperator(ctx) })
 		time.Sleep(time.Second)
 		test(t, source, peers, func() *object.Set {
 			mu.Lock()
@@ -259,14 +260,22 @@
 // Guards against changes that are skipped because the pushes behind the first one were taken
 // together although one between them was lost.
 func TestGapBetweenWaitingPushesIsReadFromTheSource(t *testing.T) {
+	const interval = time.Second
 	runOperatorWatcher(t, func(t *testing.T, source *longPollSource, peers *fakePeers, installedSet func() *object.Set) {
 		push := func(after, revision uint64, service string) Push {
 			return Push{After: after, Batch: Batch{Revision: revision, Records: []Record{{Key: "config", Revision: revision, Manifest: manifest(revision, service)}}}}
 		}
-		source.put(OperatorTopic, Record{Key: "config", Manifest: manifest(9, "read")})
 		peers.pushes <- push(1, 2, "first")
-		peers.pushes <- push(3, 4, "after the gap")
-		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, firstServiceName(installedSet), "first")
+		// The next pushes wait together, since the daemon pauses after the first one.
+		for range 2 {
+			source.put(OperatorTopic, Record{Key: "rollout/s", Order: &Order{Service: "s", To: "v2"}})
+		}
+		source.put(OperatorTopic, Record{Key: "config", Manifest: manifest(9, "read")})
+		peers.pushes <- push(2, 3, "second")
+		peers.pushes <- push(4, 5, "after the gap")
+		time.Sleep(interval + 100*time.Millisecond)
 		assert.Equal(t, firstServiceName(installedSet), "read")
-	})
+	}, interval)
 }
