log: fingerprint, parts and begun answer of failed attempts

It now names the fingerprint, the parts of the prompt that other requests may hold, whether the answer had begun, and whether the attempt ran as a suspect.

--- a/daemon/gateway_callbacks.go
+++ b/daemon/gateway_callbacks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/catalog"
@@ -24,6 +25,8 @@
 		o.logger.EmitError(eventlog.AttemptFailed, a.Err, eventlog.Fields{
 			"request": a.Request, "target": a.Target, "kind": attempt.KindOf(a.Err).String(),
 			"tookMs": a.Duration.Milliseconds(), "inFlight": a.InFlight, "version": a.Version,
+			"number": a.Number, "begun": a.Begun, "suspect": a.Suspect,
+			"fingerprint": formatID(a.Fingerprint), "parts": formatIDs(a.SharedParts),
 		})
 	}
 	// The expected latency is that of all targets of the service together: an estimate
@@ -32,6 +35,23 @@
 	o.observer.ObserveAttempt(a)
 }
 
+// maxLoggedParts bounds the parts of a prompt in one log line.
+const maxLoggedParts = 16
+
+// formatID formats an id as in the notices between daemons.
+func formatID(id uint64) string {
+	return fmt.Sprintf("%016x", id)
+}
+
+// formatIDs formats the first maxLoggedParts ids.
+func formatIDs(ids []uint64) []string {
+	out := make([]string, min(len(ids), maxLoggedParts))
+	for i := range out {
+		out[i] = formatID(ids[i])
+	}
+	return out
+}
+
 // installConfig puts a validated object set and its caller limits in force on this daemon.
 func (g *Gateway) installConfig(set *object.Set, callerLimits catalog.CallerLimits) {
 	generation := g.generation.Add(1)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -357,6 +357,11 @@
 	o.Version = f.version
 	o.Plain = r.PromptTokens == 0
 	o.Failed = err != nil && !o.Stopped
+	o.Fingerprint = r.Fingerprint
+	o.SharedParts = r.SharedParts
+	o.Suspect = grant.Request.Suspect
+	o.Number = f.attempts
+	o.Begun = report.FirstToken > 0
 	if f.attempts == 1 {
 		o.QueueWait = grant.GrantedAt.Sub(r.Arrived)
 	}
--- a/entry/forward_ports.go
+++ b/entry/forward_ports.go
@@ -35,8 +35,10 @@
 	// answer; both are 0 for calls without tokens.
 	PromptTokens, OutputTokens int
 	Prefix                     []uint64
-	Fingerprint                uint64
-	Arrived                    time.Time
+	// SharedParts are the ids of the parts of the prompt that other requests may hold too.
+	SharedParts []uint64
+	Fingerprint uint64
+	Arrived     time.Time
 	// Deadline is the earlier of the caller's deadline and the timeout of the ingress.
 	Deadline time.Time
 	// ResumeAfter is the number of the last event that the caller already has, or
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -139,12 +139,19 @@
 	// only for opaque requests.
 	Request string
 	Err     error
-	Service string
-	Route   string
-	Version string
-	Target  string
-	Tier    string
-	Account string
+	// Fingerprint, SharedParts and Suspect are those of an opaque request, and Number counts
+	// its attempts from 1. Begun is set when a part of the answer arrived.
+	Fingerprint uint64
+	SharedParts []uint64
+	Suspect     bool
+	Number      int
+	Begun       bool
+	Service     string
+	Route       string
+	Version     string
+	Target      string
+	Tier        string
+	Account     string
 	// Failed is set when the target gave no valid answer. Attempts that the caller or the
 	// scheduler stopped are not failures.
 	Failed bool
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -43,6 +43,8 @@
 	TimeLeft time.Duration
 	Size     Size
 	Prefix   []uint64
+	// SharedParts are the ids of the parts of the prompt that other requests may hold too.
+	SharedParts []uint64
 	// ResumeAfter is the number of the last event that the caller has, or entry.NoEvent.
 	ResumeAfter int64
 	Arrived     time.Time
@@ -183,6 +185,7 @@
 		PromptTokens: c.Size.Prompt,
 		OutputTokens: c.Size.expectedOutput(),
 		Prefix:       c.Prefix,
+		SharedParts:  c.SharedParts,
 		Fingerprint:  fingerprint(c, caller),
 		Arrived:      c.Arrived,
 		Deadline:     c.Arrived.Add(ingress.Timeout),
