soak: failing test of requests that crash targets by one part of their prompts

Real daemons, six engines; a request every 300 ms that crashes the engine that begins to answer it, all different but for one part.

--- a/bench/internal/soak/callers.go
+++ b/bench/internal/soak/callers.go
@@ -55,6 +55,11 @@
 // call sends one request and checks its answer. It returns the HTTP status, or 0 if there
 // was no answer.
 func (c *caller) call(d *daemon, kind, path string) int {
+	return c.callWithPrompt(d, kind, path, "")
+}
+
+// callWithPrompt is call for a request that states the parts of its prompt; "" states none.
+func (c *caller) callWithPrompt(d *daemon, kind, path, promptParts string) int {
 	c.requestCount++
 	q := &request{
 		id: fmt.Sprintf("c%d-%d", c.number, c.requestCount), kind: kind, path: path, daemon: d.Name,
@@ -77,6 +82,9 @@
 	if kind == kindStream {
 		r.Header.Set("X-Token-Usage", "500,60")
 	}
+	if promptParts != "" {
+		r.Header.Set("X-Prompt-Prefix", promptParts)
+	}
 	answer, err := c.client.Do(r)
 	if err != nil {
 		c.recordLost(d, q, err)
--- a/bench/internal/soak/environment.go
+++ b/bench/internal/soak/environment.go
@@ -64,7 +64,7 @@
 	stopStartedAt time.Time
 }
 
-func newEnvironment(program, dir string, daemons int) (*environment, error) {
+func newEnvironment(program, dir string, daemons, targets int) (*environment, error) {
 	e := &environment{recorder: newRecorder(), store: platformserver.New(1 << 30)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -74,7 +74,7 @@
 	e.storeServer = &http.Server{Handler: e.store.Handler()}
 	go func() { _ = e.storeServer.Serve(listener) }()
 	for _, service := range []string{"records", "engine"} {
-		for i := range targetsPerService {
+		for i := range targets {
 			t, err := newTarget(service, i, e.recorder)
 			if err != nil {
 				return nil, err
--- a/bench/internal/soak/soak.go
+++ b/bench/internal/soak/soak.go
@@ -66,7 +66,7 @@
 // Run starts the environment, injects the faults of one seed under load, and reports the
 // violations. It returns an error if the environment cannot be started or ctx ends.
 func Run(ctx context.Context, config Config) (*Report, error) {
-	env, err := newEnvironment(config.Program, config.Dir, config.Daemons)
+	env, err := newEnvironment(config.Program, config.Dir, config.Daemons, targetsPerService)
 	if err != nil {
 		return nil, err
 	}
--- a/bench/internal/soak/target.go
+++ b/bench/internal/soak/target.go
@@ -32,6 +32,10 @@
 	address string
 	server  *http.Server
 	proxy   *proxy
+	// onRun is called when a request begins to run, if it is set. It reports whether the
+	// request crashes the target when the target begins to answer. It is not changed while
+	// the target runs.
+	onRun func(r *http.Request) (crashes bool)
 }
 
 func newTarget(service string, number int, r *recorder) (*target, error) {
@@ -98,6 +102,12 @@
 	}
 	t.recorder.recordRun(attempt, id, r, body)
 	w.Header().Set("X-Response-Signature", signature(attempt))
+	if t.onRun != nil && t.onRun(r) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(w).Flush()
+		t.crash()
+		return
+	}
 	if kindOf(r.URL.Path) == kindStream {
 		t.streamEvents(w, r, attempt)
 		return
