blocklist: block parts of prompts that crash the targets which begin to answer them

Cause: a crash was attributed to fingerprints of whole requests. Requests that are all different but for one part of their prompts were each a first offence. The class of fault is evidence that is kept under a key which the cause does not have.

Evidence: two parts were among the attempts not begun of all 28 lost targets, no fingerprint on more than three; 25 of 29 attempts with the part were first ones.

Change: losses count against the shared parts of the attempts that the target had not begun to answer, until a target answers a request with that part anywhere. Three losses at different moments, with three different requests, accuse the set of parts that these requests have in common; it is blocked unless another daemon saw it answered. Blocked sets are told at the start of sessions and kept in one row of the table. Trials and answers lift them.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/ingress"
+	"github.com/marjoramflow/marjoramflow/internal/blocklistsync"
 	"github.com/marjoramflow/marjoramflow/internal/grants"
 	"github.com/marjoramflow/marjoramflow/internal/members"
 	"github.com/marjoramflow/marjoramflow/internal/moves"
@@ -62,6 +63,7 @@
 	owners          *owners.Manager
 	grants          *grants.Client
 	quarantine      *quarantinesync.Syncer
+	blocklist       *blocklistsync.Syncer
 	accountLimiter  *quota.Limiter
 	reachability    *reachability.Checker
 	linkBudget      linkBudget
@@ -176,6 +178,8 @@
 		g.owners.Run,
 		g.grants.Run,
 		g.quarantine.Run,
+		g.blocklist.Run,
+		g.blocklist.RunTable,
 		g.accountLimiter.Run,
 		g.reachability.Run,
 		g.moves.Run,
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -12,6 +12,7 @@
 	"github.com/marjoramflow/marjoramflow/estimate"
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/ingress"
+	"github.com/marjoramflow/marjoramflow/internal/blocklistsync"
 	"github.com/marjoramflow/marjoramflow/internal/grants"
 	"github.com/marjoramflow/marjoramflow/internal/members"
 	"github.com/marjoramflow/marjoramflow/internal/moves"
@@ -28,6 +29,7 @@
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/platform"
 	"github.com/marjoramflow/marjoramflow/provider"
+	"github.com/marjoramflow/marjoramflow/rendezvous"
 	"github.com/marjoramflow/marjoramflow/store"
 )
 
@@ -152,6 +154,16 @@
 func (g *Gateway) buildScheduling() {
 	self := g.settings.Name
 	g.quarantine = quarantinesync.New(quarantinesync.Config{Self: self, Broadcast: g.broadcast, Table: g.storeClient, Logger: g.logger})
+	g.blocklist = blocklistsync.New(blocklistsync.Config{
+		Self:        self,
+		Broadcast:   g.broadcast,
+		Send:        g.mesh.Send,
+		IsKeeper:    func(key string) bool { return rendezvous.Owner(key, g.topologies.liveAll()) == self },
+		OnExplained: g.quarantine.DiscountLoss,
+		Table:       g.storeClient,
+		Logger:      g.logger,
+	})
+	g.metrics.Set("blocklist", expvar.Func(func() any { return g.blocklist.Stats() }))
 	g.accountLimiter = quota.New(quota.Config{Self: self, Send: g.mesh.Send, LiveAll: g.topologies.liveAll, BucketLimits: g.limitBucket})
 	g.linkBudget = newLinkBudget()
 	g.reachability = reachability.New(reachability.Config{
@@ -159,7 +171,7 @@
 		Address:  g.targetAddress,
 		Identify: g.checkIdentity,
 		OnState:  func(target string, state owner.TargetState) { g.owners.SetTargetState(target, state) },
-		OnDown:   g.quarantine.TargetLost,
+		OnDown:   g.targetDown,
 		Logger:   g.logger,
 	})
 	g.moves = moves.New(moves.Config{
@@ -188,6 +200,7 @@
 		Self:             self,
 		Sender:           g.mesh,
 		OnConnectionLost: g.reachability.Check,
+		OnAttemptLost:    g.blocklist.AttemptLost,
 		OnReplaced:       g.reachability.TargetReplaced,
 		EjectionProbe:    g.checkHealth,
 		// The platform does not report the hardware of targets, so each target is its own
@@ -215,6 +228,7 @@
 		Quarantine:    g.quarantine,
 		RetryPolicy:   g.retryPolicies,
 		Forwarder:     g.forwarder,
+		Blocklist:     g.blocklist,
 		Sleep:         sleep,
 		// The rest of the memory is for the daemon's own messages and state.
 		AnswerMemory: bytebudget.New(g.memoryBytes(answerMemoryShare)),
--- a/daemon/gateway_callbacks.go
+++ b/daemon/gateway_callbacks.go
@@ -98,6 +98,7 @@
 	case g.accountLimiter.OnMessage(from, m):
 	case g.pollers.OnMessage(from, m):
 	case g.quarantine.OnMessage(m):
+	case g.blocklist.OnMessage(from, m):
 	case g.moves.OnMessage(m):
 	}
 }
@@ -107,12 +108,19 @@
 	if up {
 		g.grants.SessionUp(name)
 		g.moves.SessionUp(name)
+		g.blocklist.SessionUp(name)
 	} else {
 		g.grants.SessionLost(name)
 	}
 	g.members.OnSession(name, up, hello)
 }
 
+// targetDown records the loss of a target and the fingerprints of the requests that ran there.
+func (g *Gateway) targetDown(target string, fingerprints []uint64) {
+	g.quarantine.TargetLost(target, fingerprints)
+	g.blocklist.TargetDown(target)
+}
+
 // targetAddress returns the address of a target, or "" if it is not configured.
 func (g *Gateway) targetAddress(target string) string {
 	if t := g.topologies.Target(target); t != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,8 +31,8 @@
 )
 
 // Config holds the dependencies of a Runner. Engines serves chats only; PlainServices,
-// IdempotencyKeys and HedgePolicy serve plain calls only; Forwarder serves opaque
-// requests only. The other fields are required, except AnswerMemory.
+// IdempotencyKeys and HedgePolicy serve plain calls only; Forwarder and Blocklist serve
+// opaque requests only. The other fields are required, except AnswerMemory.
 type Config struct {
 	Grants          GrantClient
 	Engines         Engines
@@ -43,8 +43,10 @@
 	Quarantine      Quarantine
 	RetryPolicy     RetryPolicy
 	HedgePolicy     HedgePolicy
-	// Forwarder sends opaque requests to targets.
+	// Forwarder sends opaque requests to targets. Blocklist says which of them may run; nil
+	// permits all.
 	Forwarder Forwarder
+	Blocklist Blocklist
 	// AnswerMemory bounds the memory of answers that are buffered before they are sent
 	// to the caller; nil means no bound.
 	AnswerMemory *bytebudget.Budget
@@ -62,6 +64,9 @@
 
 // New returns a Runner with the given dependencies.
 func New(config Config) *Runner {
+	if config.Blocklist == nil {
+		config.Blocklist = allowAll{}
+	}
 	return &Runner{Config: config, runPrefix: rand.Text()}
 }
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -48,6 +48,8 @@
 	buffered      *bufferedAnswer
 	bufferMemory  *bytebudget.Allocation
 	disconnectErr error
+	// trial is set while the next attempt is the trial of a blocked set.
+	trial bool
 	// lastEventAt is when the last event was sent to the caller.
 	lastEventAt time.Time
 	trace       Trace
@@ -99,12 +101,21 @@
 	}
 }
 
-// runAttempt reserves a target and runs the request on it once.
+// runAttempt reserves a target and runs the request on it once. The blocklist is asked before
+// and after the wait for the target.
 func (f *forwardRun) runAttempt(ctx context.Context) error {
+	defer func() { f.trial = false }()
+	if refusal := f.checkBlocklist(ctx); refusal != nil {
+		return refusal
+	}
 	grant, err := f.runner.Grants.Reserve(ctx, f.grantRequest())
 	if err != nil {
 		return err
 	}
+	if refusal := f.checkBlocklist(ctx); refusal != nil {
+		f.runner.Grants.Release(grant, Report{Result: ResultCanceled})
+		return refusal
+	}
 	f.trace.Targets = append(f.trace.Targets, grant.Target.Name)
 	if f.attempts == 1 {
 		f.trace.QueueWait = grant.GrantedAt.Sub(f.request.Arrived)
@@ -115,6 +126,7 @@
 	err = f.dispatch(ctx, grant, &report, started)
 	report.Duration = time.Since(started)
 	report.Result = resultOf(ctx, err)
+	report.Unanswered = f.eventsSent-eventsBefore < answeredEvents && targetLostRequest(err)
 	report.OutputTokens = (f.eventsSent - eventsBefore) * max(1, f.request.Service.EventTokens)
 	f.runner.Grants.Release(grant, report)
 	f.observe(grant, &report, err)
@@ -146,6 +158,7 @@
 		Accepted:        f.answerStarted,
 		Suspect:         f.suspect,
 		Fingerprint:     r.Fingerprint,
+		SharedParts:     r.SharedParts,
 		Prefix:          r.Prefix,
 		Plain:           r.PromptTokens == 0,
 		Exclude:         f.excludedTargets,
@@ -202,6 +215,7 @@
 		return attemptError(attempt.Failed, target, reply.Status, errTargetFailed)
 	}
 	f.runner.Quarantine.RequestFinished(f.request.Fingerprint)
+	f.reportAnswered()
 	return f.sendBuffered()
 }
 
@@ -343,7 +357,9 @@
 	}
 	refusal := AsRefusal(err)
 	refusal.Outcome = f.outcome()
-	refusal.RetryAfter = boundRetryAfter(refusal.RetryAfter, time.Until(f.request.Deadline), rand.Float64())
+	if refusal.Code != CodeQuarantined {
+		refusal.RetryAfter = boundRetryAfter(refusal.RetryAfter, time.Until(f.request.Deadline), rand.Float64())
+	}
 	return refusal
 }
 
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -23,12 +23,11 @@
 	memory := f.runner.AnswerMemory.NewAllocation()
 	defer memory.Release()
 	events := eventstream.NewReader(reply.Body, memory.Grow)
-	unnumbered := 0
+	unnumbered, received := 0, 0
 	reply.Body.SetReadDeadline(f.firstByteBy(started))
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
-			f.runner.Quarantine.RequestFinished(f.request.Fingerprint)
 			return f.endStream(reply)
 		}
 		if err != nil {
@@ -44,6 +43,9 @@
 		if err := f.sendEvent(reply, target, event); err != nil {
 			return err
 		}
+		if received++; received == answeredEvents {
+			f.reportAnswered()
+		}
 		reply.Body.SetReadDeadline(f.nextEventBy())
 	}
 }
@@ -60,6 +62,8 @@
 // endStream ends an answer. For a stream without any event, it starts the sink with the
 // head of the reply.
 func (f *forwardRun) endStream(reply *Reply) error {
+	f.runner.Quarantine.RequestFinished(f.request.Fingerprint)
+	f.reportAnswered()
 	if f.answerStarted {
 		return nil
 	}
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/blocklist"
 	"github.com/marjoramflow/marjoramflow/engine"
 	"github.com/marjoramflow/marjoramflow/idempotency"
 	"github.com/marjoramflow/marjoramflow/object"
@@ -52,6 +53,8 @@
 	// Plain is set for calls without tokens.
 	Plain       bool
 	Fingerprint uint64
+	// SharedParts are the ids of the parts of the prompt that other requests may hold too.
+	SharedParts []uint64
 	// Prefix holds the hashes of the prompt's leading blocks, for the prefix cache.
 	Prefix []uint64
 	// Exclude lists the targets on which this request failed.
@@ -92,6 +95,9 @@
 	PromptTokens int
 	CachedTokens int
 	OutputTokens int
+	// Unanswered is set when the target was lost after it got the request and before it
+	// answered, see Blocklist.Answered.
+	Unanswered bool
 	// FirstToken is the time from dispatch to the first token or, for an opaque answer
 	// that is not streamed, to its head; 0 without one. Duration is the time from dispatch
 	// to the end.
@@ -189,6 +195,18 @@
 	RequestFinished(fingerprint uint64)
 }
 
+// Blocklist knows the parts of prompts that crash targets.
+type Blocklist interface {
+	// Check returns how a request with these shared parts is treated.
+	Check(parts []uint64) blocklist.Verdict
+	// StartTrial lets one request of a blocked set through, and reports whether it did.
+	StartTrial(set []uint64) bool
+	// Answered records that a target answered a request with these shared parts: it sent a
+	// whole answer, or the second event of a stream. A target may crash while it writes the
+	// first one.
+	Answered(parts []uint64)
+}
+
 // HedgePolicy decides whether an idempotent call that has no answer yet is sent to a
 // second target.
 type HedgePolicy interface {
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -35,6 +35,9 @@
 	RequestEnded        Event = 1303
 	RequestRefused      Event = 1304
 	AttemptFailed       Event = 1305
+	PartsAccused        Event = 1306
+	PartsBlocked        Event = 1307
+	PartsAnswered       Event = 1308
 	TargetDown          Event = 1401
 	TargetUp            Event = 1402
 	TargetReplaced      Event = 1408
@@ -86,6 +89,9 @@
 	RequestEnded:        {logrus.InfoLevel, "request ended"},
 	RequestRefused:      {logrus.InfoLevel, "request was refused"},
 	AttemptFailed:       {logrus.InfoLevel, "attempt on a target failed"},
+	PartsAccused:        {logrus.InfoLevel, "requests with these parts of a prompt may crash targets"},
+	PartsBlocked:        {logrus.WarnLevel, "requests with these parts of a prompt crash targets and are refused"},
+	PartsAnswered:       {logrus.InfoLevel, "target answered a request with accused or blocked parts"},
 	TargetRegistered:    {logrus.InfoLevel, "target registered itself or changed its entry"},
 	TargetGone:          {logrus.InfoLevel, "target has left the registry"},
 	TargetDown:          {logrus.WarnLevel, "target does not answer its probe"},
--- a/internal/grants/client.go
+++ b/internal/grants/client.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/blocklist"
 	"github.com/marjoramflow/marjoramflow/entry"
 	"github.com/marjoramflow/marjoramflow/internal/replytime"
 	"github.com/marjoramflow/marjoramflow/object"
@@ -168,9 +169,23 @@
 		FirstTokenUs: uint32(report.FirstToken.Microseconds()),
 		DurationUs:   uint32(report.Duration.Microseconds()),
 		Version:      grant.Request.Version,
+		Lost:         encodeLostAttempt(grant, report),
 	})
 }
 
+// encodeLostAttempt returns what the owner has to know about an attempt that was lost before
+// the target answered, and nil for other attempts.
+func encodeLostAttempt(grant *entry.Grant, report entry.Report) *peerpb.LostAttempt {
+	if !report.Unanswered || len(grant.Request.SharedParts) == 0 {
+		return nil
+	}
+	parts := grant.Request.SharedParts
+	return &peerpb.LostAttempt{
+		Fingerprint: grant.Request.Fingerprint,
+		Parts:       parts[:min(len(parts), blocklist.MaxAttemptParts)],
+	}
+}
+
 var releaseOutcomes = map[entry.Result]peerpb.ReleaseOutcome{
 	entry.ResultDone:       peerpb.ReleaseOutcome_RELEASE_DONE,
 	entry.ResultFailed:     peerpb.ReleaseOutcome_RELEASE_FAILED,
--- a/internal/owners/manager.go
+++ b/internal/owners/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/blocklist"
 	"github.com/marjoramflow/marjoramflow/estimate"
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/outlier"
@@ -41,6 +42,7 @@
 	sender           Sender
 	logger           *eventlog.Logger
 	onConnectionLost func(target string, running []owner.RunningRequest)
+	onAttemptLost    func(target string, attempt blocklist.Attempt)
 	onReplaced       func(target string)
 	ejectionProbe    EjectionProbe
 	groupOptions     owner.Options
@@ -75,8 +77,8 @@
 // event handles one input of the manager. Run calls it.
 type event func(now time.Time)
 
-// Config holds the dependencies of a Manager. All are required, except Model and
-// OnReplaced.
+// Config holds the dependencies of a Manager. All are required, except Model, OnAttemptLost
+// and OnReplaced.
 type Config struct {
 	Self   string
 	Sender Sender
@@ -84,6 +86,9 @@
 	// to the target broke, and, with Options.CheckOnTimeout, when a request made no progress
 	// there.
 	OnConnectionLost func(target string, running []owner.RunningRequest)
+	// OnAttemptLost is called for each attempt that was lost with the target before the target
+	// answered, if it is not nil.
+	OnAttemptLost func(target string, attempt blocklist.Attempt)
 	// OnReplaced is called when another target answers at the address of this one. The
 	// target gets no requests until its state is set again. If OnReplaced is nil, this
 	// is handled as a failed request.
@@ -106,6 +111,7 @@
 		self:             config.Self,
 		sender:           config.Sender,
 		onConnectionLost: config.OnConnectionLost,
+		onAttemptLost:    config.OnAttemptLost,
 		onReplaced:       config.OnReplaced,
 		ejectionProbe:    config.EjectionProbe,
 		groupOptions:     config.GroupOptions,
--- a/internal/owners/messages.go
+++ b/internal/owners/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/blocklist"
 	"github.com/marjoramflow/marjoramflow/internal/grants"
 	"github.com/marjoramflow/marjoramflow/owner"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
@@ -53,6 +54,9 @@
 	case m.Outcome == peerpb.ReleaseOutcome_RELEASE_TARGET_LOST, m.Outcome == peerpb.ReleaseOutcome_RELEASE_TIMEOUT && mgr.groupOptions.CheckOnTimeout:
 		mgr.onConnectionLost(m.Target, s.group.InFlight(m.Target))
 	}
+	if m.Lost != nil && mgr.onAttemptLost != nil {
+		mgr.onAttemptLost(m.Target, blocklist.Attempt{Fingerprint: m.Lost.Fingerprint, Parts: m.Lost.Parts})
+	}
 	if m.Id == "" {
 		return
 	}
--- a/peer/stats.go
+++ b/peer/stats.go
@@ -35,7 +35,7 @@
 var kindNameByNumber = kindNames()
 
 // kindCount is one more than the highest field number of Envelope.
-const kindCount = 27
+const kindCount = 30
 
 type kindCounter struct {
 	messages atomic.Uint64
