quarantine: tell peers and restarted daemons which requests are quarantined

A daemon that was cut off while a request was quarantined, or a gateway that started later, ran the request again and lost a target to it; after a restart of all gateways nothing was known any more.

Cause: notices were broadcast once, and only the other kind of daemon read and wrote the rows of the table.

Change: quarantined requests are told at the start of each session, and gateways read and write the rows too. A notice whose losses were all cleared here is ignored, so that a daemon that was away does not revive a quarantine that ended: TestEndedQuarantineIsNotRevived fails without that check (convicted instead of clear).

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -133,6 +133,7 @@
 	d.quarantine = quarantinesync.New(quarantinesync.Config{
 		Self:      d.settings.Name,
 		Broadcast: d.broadcast,
+		Send:      d.mesh.Send,
 		Table:     d.table,
 		Logger:    d.logger,
 	})
--- a/daemon/callbacks.go
+++ b/daemon/callbacks.go
@@ -78,6 +78,7 @@
 	if up {
 		d.grants.SessionUp(name)
 		d.moves.SessionUp(name)
+		d.quarantine.SessionUp(name)
 		d.configSyncer.OnPeerGeneration(name, hello.Generation)
 	} else {
 		d.grants.SessionLost(name)
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -178,6 +178,7 @@
 		g.owners.Run,
 		g.grants.Run,
 		g.quarantine.Run,
+		g.quarantine.RunTable,
 		g.blocklist.Run,
 		g.blocklist.RunTable,
 		g.accountLimiter.Run,
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -153,7 +153,7 @@
 // runner of requests.
 func (g *Gateway) buildScheduling() {
 	self := g.settings.Name
-	g.quarantine = quarantinesync.New(quarantinesync.Config{Self: self, Broadcast: g.broadcast, Table: g.storeClient, Logger: g.logger})
+	g.quarantine = quarantinesync.New(quarantinesync.Config{Self: self, Broadcast: g.broadcast, Send: g.mesh.Send, Table: g.storeClient, Logger: g.logger})
 	g.blocklist = blocklistsync.New(blocklistsync.Config{
 		Self:        self,
 		Broadcast:   g.broadcast,
--- a/daemon/gateway_callbacks.go
+++ b/daemon/gateway_callbacks.go
@@ -108,6 +108,7 @@
 	if up {
 		g.grants.SessionUp(name)
 		g.moves.SessionUp(name)
+		g.quarantine.SessionUp(name)
 		g.blocklist.SessionUp(name)
 	} else {
 		g.grants.SessionLost(name)
--- a/internal/quarantinesync/syncer.go
+++ b/internal/quarantinesync/syncer.go
@@ -43,8 +43,10 @@
 	Self string
 	// Broadcast sends a message to every daemon with a session.
 	Broadcast func(m *peerpb.Envelope)
-	Table     provider.Table
-	Logger    *eventlog.Logger
+	// Send sends a message to one of them.
+	Send   func(to string, m *peerpb.Envelope) error
+	Table  provider.Table
+	Logger *eventlog.Logger
 }
 
 // Syncer keeps the quarantine tracker of a daemon in sync with its peers and the table.
@@ -130,6 +132,30 @@
 	return true
 }
 
+// maxToldNotices bounds the notices that a peer is told at the start of a session.
+const maxToldNotices = 256
+
+// SessionUp tells a peer the quarantined requests. It may have started, or been cut off,
+// while they were told.
+func (s *Syncer) SessionUp(peer string) {
+	s.mu.Lock()
+	notices := s.tracker.Quarantined(maxToldNotices)
+	s.mu.Unlock()
+	for _, n := range notices {
+		// A peer that cannot be reached is told when its next session starts.
+		_ = s.Send(peer, s.encodeNotice(n))
+	}
+}
+
+func (s *Syncer) encodeNotice(n quarantine.Notice) *peerpb.Envelope {
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Suspicion{Suspicion: &peerpb.Suspicion{
+		Fingerprint: n.Fingerprint,
+		State:       wireState(n.State),
+		Targets:     n.Targets,
+		Origin:      s.Self,
+	}}}
+}
+
 // relayInterval is the minimum time between two relays of the same notice by a daemon.
 // Without it, two contradictory notices could be relayed endlessly, each one undoing the
 // other.
@@ -164,12 +190,7 @@
 // RunTable.
 func (s *Syncer) publish(notices []quarantine.Notice) {
 	for _, n := range notices {
-		s.Broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Suspicion{Suspicion: &peerpb.Suspicion{
-			Fingerprint: n.Fingerprint,
-			State:       wireState(n.State),
-			Targets:     n.Targets,
-			Origin:      s.Self,
-		}}})
+		s.Broadcast(s.encodeNotice(n))
 		if n.State != quarantine.Quarantined {
 			continue
 		}
--- a/internal/quarantinesync/syncer_test.go
+++ b/internal/quarantinesync/syncer_test.go
@@ -102,3 +102,22 @@
 		assert.Equal(t, syncers["c"].StateOf(crashing), quarantine.Clear)
 	})
 }
+
+// Guards against a daemon that was cut off while a request was quarantined, or that starts
+// while the table is down, and runs the request.
+func TestPeerIsToldQuarantinesWhenItsSessionStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		syncers := startChain(t, memtable.New())
+		syncers["a"].TargetLost("t1", []uint64{crashing})
+		time.Sleep(time.Second)
+		syncers["a"].TargetLost("t2", []uint64{crashing})
+		time.Sleep(2 * time.Second)
+		returned := New(Config{Self: "d", Broadcast: func(*peerpb.Envelope) {}, Logger: eventlog.Discard()})
+		syncers["b"].Send = func(_ string, m *peerpb.Envelope) error {
+			returned.OnMessage(m)
+			return nil
+		}
+		syncers["b"].SessionUp("d")
+		assert.Equal(t, returned.StateOf(crashing), quarantine.Quarantined)
+	})
+}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -8,7 +8,8 @@
 // Merge applies a notice of another daemon or a row of the table service. A
 // quarantined record ignores notices of the states Suspect and Pending. Targets
 // whose loss was cleared recently are ignored in such notices, so that notices may
-// arrive in any order.
+// arrive in any order. A daemon that was cut off may tell a quarantine that has ended
+// meanwhile; it is ignored if all its losses were cleared here.
 func (t *Tracker) Merge(now time.Time, n Notice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -19,6 +20,9 @@
 	}
 	switch n.State {
 	case Quarantined:
+		if r.cleared(n.Targets) {
+			return
+		}
 		t.mergeEvidence(r, n.Targets, t.findLoss)
 		t.quarantine(now, r)
 	case Clear:
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -54,6 +54,19 @@
 	return len(t.records)
 }
 
+// Quarantined returns a notice for each quarantined fingerprint, the newest first, at most
+// limit of them, for a daemon that may not know them.
+func (t *Tracker) Quarantined(limit int) []Notice {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var notices []Notice
+	for e := t.lists[classQuarantined].Back(); e != nil && len(notices) < limit; e = e.Prev() {
+		r := e.Value.(*record)
+		notices = append(notices, Notice{Fingerprint: r.fingerprint, State: Quarantined, Targets: r.targets()})
+	}
+	return notices
+}
+
 // TargetLost records that a target was lost while the given fingerprints were
 // in flight on it, and returns the notices for the other daemons.
 func (t *Tracker) TargetLost(now time.Time, target string, inFlight []uint64) []Notice {
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -167,3 +167,23 @@
 	tracker.TargetLost(at(0), "t1", []uint64{1})
 	assert.Equal(t, tracker.StateOf(1), Suspect)
 }
+
+// Guards against a quarantine that has ended coming back with a daemon that was cut off when
+// its losses were explained.
+func TestEndedQuarantineIsNotRevived(t *testing.T) {
+	now := time.Date(2026, 12, 5, 10, 0, 0, 0, time.UTC)
+	tracker, cutOff := New(Options{}), New(Options{})
+	notice := Notice{Fingerprint: 7, State: Quarantined, Targets: []string{"t1", "t2"}}
+	tracker.Merge(now, notice)
+	cutOff.Merge(now, notice)
+	tracker.DiscountLoss(now, "t1")
+	tracker.DiscountLoss(now, "t2")
+	assert.Equal(t, tracker.StateOf(7), Clear)
+	told := cutOff.Quarantined(10)
+	assert.Equal(t, len(told), 1)
+	tracker.Merge(now.Add(time.Minute), told[0])
+	assert.Equal(t, tracker.StateOf(7), Clear)
+	tracker.Merge(now.Add(time.Minute), Notice{Fingerprint: 7, State: Quarantined, Targets: []string{"t3", "t4"}})
+	assert.Equal(t, tracker.StateOf(7), Quarantined, "later losses count")
+	assert.Equal(t, len(tracker.Quarantined(0)), 0)
+}
--- a/quarantine/types.go
+++ b/quarantine/types.go
@@ -154,6 +154,17 @@
 	return now.Sub(r.clearedAt) <= duplicateWindow && slices.Contains(r.clearedTargets, target)
 }
 
+// cleared reports whether the record is clear because the losses of all these targets were
+// cleared.
+func (r *record) cleared(targets []string) bool {
+	for _, target := range targets {
+		if !slices.Contains(r.clearedTargets, target) {
+			return false
+		}
+	}
+	return r.state == Clear && len(targets) > 0
+}
+
 // maxExplainedLosses bounds the explainedLosses of a record.
 const maxExplainedLosses = 4
 
