entry: treat an undelimited stream without events as broken off

A target that crashes as it begins to answer may have sent the head of an answer that has neither a length nor chunks. The end of its connection was taken for the end of the stream: the caller got an empty 200, and the request counted as answered, which would have cleared the part of its prompt that crashes targets.

Cause: the end of the connection was the end of every such answer. Change: before the first event it is a broken one. TestUndelimitedStreamWithoutEventsIsBroken failed before (an empty answer of the first target).

--- a/entry/forward_ports.go
+++ b/entry/forward_ports.go
@@ -80,6 +80,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 when it is unknown.
 	Length int64
+	// Delimited is set when the answer states where it ends. Otherwise its end cannot be told
+	// from that of a target that stopped.
+	Delimited bool
 	// NotRun is set when the target states that it did not run the request.
 	NotRun bool
 	Body   ReplyBody
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -15,6 +15,7 @@
 	errTargetRefused = errors.New("the target did not run the request")
 	errTargetFailed  = errors.New("the target answered with a failure")
 	errEventGap      = errors.New("events of the stream are missing")
+	errEmptyStream   = errors.New("the stream ended with its connection before the first event")
 	errNoEvents      = errors.New("the stream carries bytes without a numbered event")
 )
 
@@ -27,6 +28,9 @@
 	reply.Body.SetReadDeadline(f.firstByteBy(started))
 	for {
 		event, err := events.Next()
+		if err == io.EOF && received == 0 && f.lastEvent == NoEvent && !reply.Delimited {
+			return attemptError(attempt.Cut, target, reply.Status, errEmptyStream)
+		}
 		if err == io.EOF {
 			return f.endStream(reply)
 		}
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -27,6 +27,8 @@
 	body   string
 	// err is returned after the text of body; nil means io.EOF.
 	err error
+	// undelimited is set for an answer that ends with its connection.
+	undelimited bool
 	// failure is the kind of the error that is returned instead of an answer; 0 means none.
 	failure attempt.Kind
 	// hangs blocks the attempt until its context ends.
@@ -58,7 +60,7 @@
 		end = io.EOF
 	}
 	return &Reply{
-		Status: reply.status, Header: http.Header{"X-From": {d.Target.Name}}, Length: -1, NotRun: reply.notRun,
+		Status: reply.status, Header: http.Header{"X-From": {d.Target.Name}}, Length: -1, NotRun: reply.notRun, Delimited: !reply.undelimited,
 		Body: &scriptedBody{forwarder: f, Reader: io.MultiReader(strings.NewReader(reply.body), errReader{end})},
 	}, nil
 }
@@ -285,6 +287,24 @@
 	assert.Equal(t, c.sink.body.String(), eventRange(0, 3))
 }
 
+// Guards against an empty stream that looks complete to the caller, when a target crashes as
+// it begins to answer and the answer has neither a length nor chunks.
+func TestUndelimitedStreamWithoutEventsIsBroken(t *testing.T) {
+	c := newForwardCase(scriptedReply{status: http.StatusOK, undelimited: true}, scriptedReply{status: http.StatusOK, body: eventRange(0, 9), undelimited: true})
+	assert.NilError(t, c.run(t.Context(), object.RepeatResume, true))
+	assert.Equal(t, c.sink.body.String(), eventRange(0, 9))
+	assert.Equal(t, c.sink.from, "t2")
+
+	c = newForwardCase(scriptedReply{status: http.StatusOK, undelimited: true})
+	refusal := AsRefusal(c.run(t.Context(), object.RepeatNever, true))
+	assert.Equal(t, refusal.Outcome, OutcomeUnknown)
+	assert.Equal(t, c.sink.starts, 0)
+
+	c = newForwardCase(scriptedReply{status: http.StatusOK})
+	assert.NilError(t, c.run(t.Context(), object.RepeatNever, true))
+	assert.Equal(t, c.sink.starts, 1, "the target said that the answer is empty")
+}
+
 // Guards against a non-repeatable stream that is started again, and against an incomplete
 // stream that looks complete.
 func TestBrokenStreamWithoutResumeEndsAsBroken(t *testing.T) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -49,6 +49,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 when the answer does not state it.
 	Length int64
+	// Delimited is true if the answer states its length or comes in chunks. Otherwise it ends
+	// with its connection, as does one whose target stopped in the middle.
+	Delimited bool
 
 	// NewConnection is true if the connection was opened for this request.
 	NewConnection bool
@@ -171,6 +174,7 @@
 			e.Status = response.StatusCode
 			e.Header = response.Header
 			e.Length = response.ContentLength
+			e.Delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 			return nil
 		}
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -392,3 +392,22 @@
 	// A target accepts 96 connections from 8 daemons; one of this daemon's share is in use.
 	assert.Assert(t, tg.maxOpen.Load() <= 96/8, "%d connections open", tg.maxOpen.Load())
 }
+
+// Guards against an answer that ends with its connection being taken for one whose end was
+// stated.
+func TestDelimitedAnswersAreToldApart(t *testing.T) {
+	for head, want := range map[string]bool{
+		"Content-Length: 0\r\n\r\n":                    true,
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n":  true,
+		"Content-Type: text/event-stream\r\n\r\nid: 1": false,
+	} {
+		tg := newTarget(t, func(_ int64, conn net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head)
+			return false
+		})
+		e, err := NewPool(Options{}).Send(t.Context(), tg.call(true))
+		assert.NilError(t, err)
+		assert.Equal(t, e.Delimited, want, "%q", head)
+		e.Close()
+	}
+}
