rollout: compare lightly loaded new targets with old ones at higher load

At 5% share, the targets of the new version run few requests, those of the old version never so few.

Cause: a load level at which the old version was never seen had no baseline of its own.

Change: the old version's answers at higher load levels of the route are the baseline then. A good version has no more slow answers at a lower level, so the bound on wrong verdicts holds.

--- a/rollout/comparison.go
+++ b/rollout/comparison.go
@@ -120,7 +120,8 @@
 
 // baseline returns the old version's answers in the stratum itself, if there are at
 // least minBaselineAnswers; else those on the route at the same load level, if there
-// are as many; else those on the route.
+// are as many; else, for a metric that depends on the load, those at this and higher
+// levels; else those on the route.
 func (t *Tally) baseline(p *versionPair, m *metric) baseline {
 	for _, grouping := range [...]int{byRouteTargetLoad, byRouteLoad} {
 		c := &t.totals[grouping][p.groupIndex[grouping]].old
@@ -128,10 +129,30 @@
 			return baseline{trials{n: c.Requests, k: m.faults(*c)}, true}
 		}
 	}
+	if m.dependsOnLoad {
+		if c := t.oldAtLoadOrAbove(p.key); c.Requests >= minBaselineAnswers {
+			return baseline{trials{n: c.Requests, k: m.faults(c)}, true}
+		}
+	}
 	c := &t.totals[byRoute][p.groupIndex[byRoute]].old
 	return baseline{old: trials{n: c.Requests, k: m.faults(*c)}}
 }
 
+// oldAtLoadOrAbove returns the old version's answers on the route of a stratum at its load
+// level and higher ones. A good version has no higher rate of slow answers at a lower
+// level, so these answers excuse the new version more than those at its own level would.
+// Targets of the new version run few requests while its share is small, and those of the
+// old version may never run so few.
+func (t *Tally) oldAtLoadOrAbove(key stratum) Counts {
+	var sum Counts
+	for load := key.load; load < loadLevels; load++ {
+		if i, found := t.groupIndexes[byRouteLoad][stratum{route: key.route, load: load}]; found {
+			sum.add(t.totals[byRouteLoad][i].old)
+		}
+	}
+	return sum
+}
+
 // comparisons returns the comparisons of one grouping, indexed like the tally's
 // totals, and the number of those that have answers of the new version; the others
 // are empty. For a metric that depends on the load level, strata without a matched
--- a/rollout/sequential_test.go
+++ b/rollout/sequential_test.go
@@ -133,3 +133,67 @@
 		})
 	}
 }
+
+// Guards against a version that is several times slower passing because its targets run few
+// requests at a small share, and those of the old version never so few: its answers were
+// then compared with a wide tolerance and counted apart for each route.
+func TestSlowVersionIsFoundAtALowerLoad(t *testing.T) {
+	const (
+		answersPerSecond = 100
+		seconds          = 12
+	)
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		tally := NewTally("v1", "v2")
+		found := false
+		for second := 0; second < seconds && !found; second++ {
+			now := startTime.Add(time.Duration(second) * time.Second)
+			e := &Evidence{Origin: "o", Sequence: uint64(second + 1)}
+			for range answersPerSecond {
+				c := StratumCounts{Version: "v1", Route: fmt.Sprint("r", r.IntN(3)), Target: fmt.Sprint(r.IntN(9)), Load: uint32(1 + r.IntN(2)), Requests: 1}
+				slow := 0.1
+				if r.Float64() < 0.05 {
+					c.Version, c.Target, c.Load, slow = "v2", "n", 0, 0.8
+				}
+				if r.Float64() < slow {
+					c.Slow = 1
+				}
+				e.Strata = append(e.Strata, c)
+			}
+			tally.Merge(now, e)
+			found = NewSequentialTest().SplitAmong(2).Evaluate(tally, now, 2000).Bad
+		}
+		assert.Assert(t, found, "seed %d", seed)
+	}
+}
+
+// Guards against a good version being called bad because its targets run more requests than
+// those of the old version.
+func TestHigherLoadIsNotHeldAgainstTheNewVersion(t *testing.T) {
+	bad := 0
+	for seed := range uint64(100) {
+		r := rand.New(rand.NewPCG(seed, 6))
+		tally := NewTally("v1", "v2")
+		for second := range 20 {
+			now := startTime.Add(time.Duration(second) * time.Second)
+			e := &Evidence{Origin: "o", Sequence: uint64(second + 1)}
+			for range 60 {
+				c := StratumCounts{Version: "v1", Route: "r", Target: fmt.Sprint(r.IntN(9)), Load: uint32(r.IntN(2)), Requests: 1}
+				slow := 0.05 + 0.1*float64(c.Load)
+				if r.Float64() < 0.3 {
+					c.Version, c.Target, c.Load, slow = "v2", "n", 3, 0.4
+				}
+				if r.Float64() < slow {
+					c.Slow = 1
+				}
+				e.Strata = append(e.Strata, c)
+			}
+			tally.Merge(now, e)
+			if NewSequentialTest().Evaluate(tally, now, 2000).Bad {
+				bad++
+				break
+			}
+		}
+	}
+	assert.Assert(t, bad <= 1, "%d good versions were called bad", bad)
+}
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -62,6 +62,7 @@
 
 // versionPair holds the counts of both versions in one stratum.
 type versionPair struct {
+	key      stratum
 	old, new Counts
 	// groupIndex holds, for each grouping, the index of this stratum's group in
 	// Tally.totals.
@@ -158,7 +159,7 @@
 	if p := t.pairByStratum[key]; p != nil {
 		return p
 	}
-	p := &versionPair{}
+	p := &versionPair{key: key}
 	for grouping := range groupingCount {
 		groupKey := coarsen(grouping, key)
 		index, ok := t.groupIndexes[grouping][groupKey]
