rollout: compare the pace of streams, too

A new version whose events come three times as slowly was kept as long as its first tokens came about in time.

Cause: only the time to the first token was evidence. Its spread is wide, as it depends on what else is prefilled; the pace of a stream is narrow. Change: the mean time between two events is compared like the first token, with its own counts. TestVersionWithSlowStreamsIsFound failed before (the version passed).

--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -40,6 +40,7 @@
 		Load:     rollout.LoadLevel(a.InFlight, a.Slots),
 		Failed:   a.Failed,
 		Latency:  latency,
+		Pace:     a.Pace,
 		Expected: expected,
 	})
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -383,6 +383,7 @@
 	o.Service = r.Service.Name
 	o.Route = r.Route
 	o.Version = c.version
+	o.Pace = pace(report, report.OutputTokens)
 	o.Failed = err != nil && !o.Stopped
 	if c.attempts == 0 {
 		o.QueueWait = grant.GrantedAt.Sub(r.Arrived)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -172,6 +172,14 @@
 	}
 }
 
+// pace returns the mean time between two of the events that an attempt received.
+func pace(report *Report, events int) time.Duration {
+	if events < 2 || report.FirstToken <= 0 || report.Duration <= report.FirstToken {
+		return 0
+	}
+	return (report.Duration - report.FirstToken) / time.Duration(events-1)
+}
+
 // newObservation fills the fields of an Observation that chats, plain calls and opaque
 // requests have in common.
 func newObservation(grant *Grant, report *Report, caller Caller) Observation {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -371,6 +371,7 @@
 	o.Service = r.Service.Name
 	o.Route = r.Ingress.Name
 	o.Version = f.version
+	o.Pace = pace(report, report.OutputTokens/max(1, r.Service.EventTokens))
 	o.Plain = r.PromptTokens == 0
 	o.Failed = err != nil && !o.Stopped
 	o.Fingerprint = r.Fingerprint
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -166,6 +166,8 @@
 	// FirstToken is Report.FirstToken, Duration is Report.Duration.
 	FirstToken time.Duration
 	Duration   time.Duration
+	// Pace is the mean time between two events of a stream; 0 with fewer than two.
+	Pace time.Duration
 	// InFlight is the number of requests on the target at dispatch, this one included;
 	// Slots is the number that the target can run at once.
 	InFlight, Slots int
--- a/internal/moves/messages.go
+++ b/internal/moves/messages.go
@@ -27,13 +27,15 @@
 	for i := range e.Strata {
 		c := &e.Strata[i]
 		m.Cells = append(m.Cells, &peerpb.EvidenceCell{
-			Version:  c.Version,
-			Route:    c.Route,
-			Target:   c.Target,
-			Load:     c.Load,
-			Requests: c.Requests,
-			Errors:   c.Errors,
-			Slow:     c.Slow,
+			Version:   c.Version,
+			Route:     c.Route,
+			Target:    c.Target,
+			Load:      c.Load,
+			Requests:  c.Requests,
+			Errors:    c.Errors,
+			Slow:      c.Slow,
+			Paced:     c.Paced,
+			SlowPaced: c.SlowPaced,
 		})
 	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Evidence{Evidence: m}}
@@ -43,13 +45,15 @@
 	e := &rollout.Evidence{Move: m.Move, Attempt: int(m.Attempt), Origin: m.Origin, Sequence: m.Sequence}
 	for _, c := range m.Cells {
 		e.Strata = append(e.Strata, rollout.StratumCounts{
-			Version:  c.Version,
-			Route:    c.Route,
-			Target:   c.Target,
-			Load:     c.Load,
-			Requests: c.Requests,
-			Errors:   c.Errors,
-			Slow:     c.Slow,
+			Version:   c.Version,
+			Route:     c.Route,
+			Target:    c.Target,
+			Load:      c.Load,
+			Requests:  c.Requests,
+			Errors:    c.Errors,
+			Slow:      c.Slow,
+			Paced:     c.Paced,
+			SlowPaced: c.SlowPaced,
 		})
 	}
 	return e
--- a/rollout/aggregator.go
+++ b/rollout/aggregator.go
@@ -89,6 +89,8 @@
 	sum.Requests += c.Requests
 	sum.Errors += c.Errors
 	sum.Slow += c.Slow
+	sum.Paced += c.Paced
+	sum.SlowPaced += c.SlowPaced
 }
 
 // Evaluate returns the attempts whose evidence in this data centre shows a bad
--- a/rollout/collector.go
+++ b/rollout/collector.go
@@ -32,6 +32,8 @@
 	// Latency is the time to the first token, or to the whole answer of a plain
 	// service. An answer with 0 is never counted as slow.
 	Latency time.Duration
+	// Pace is the mean time between two events of a streamed answer; 0 means none.
+	Pace time.Duration
 	// Expected is the estimated latency of a request of this length on the old
 	// version. With an estimate, the ratio of Latency to it decides whether the
 	// answer is slow; with 0, Latency alone does.
@@ -47,6 +49,7 @@
 	mu           sync.Mutex
 	attempts     map[attemptKey]*attemptCounts
 	oldLatencies map[routeKey]*histogram // latency ratios of the old version
+	oldPaces     map[routeKey]*histogram // paces of the old version, in milliseconds
 	sequence     uint64
 }
 
@@ -78,6 +81,7 @@
 		origin:       origin,
 		attempts:     make(map[attemptKey]*attemptCounts),
 		oldLatencies: make(map[routeKey]*histogram),
+		oldPaces:     make(map[routeKey]*histogram),
 	}
 }
 
@@ -100,16 +104,12 @@
 // countAnswer counts an answer for one move. The caller holds the mutex.
 func (c *Collector) countAnswer(m *ActiveMove, o *Observation) {
 	key := routeKey{service: o.Service, route: o.Route}
-	h := c.oldLatencies[key]
-	if h == nil {
-		h = &histogram{}
-		c.oldLatencies[key] = h
-	}
+	isOld := o.Version == m.From
 	hasLatency := !o.Failed && o.Latency > 0
-	limit, limitKnown := h.percentile90()
-	if hasLatency && o.Version == m.From {
-		h.add(o.latencyRatio())
-	}
+	limit, limitKnown := observeOld(c.oldLatencies, key, o.latencyRatio(), hasLatency && isOld)
+	hasPace := !o.Failed && o.Pace > 0
+	paceMs := float64(o.Pace) / float64(time.Millisecond)
+	paceLimit, paceLimitKnown := observeOld(c.oldPaces, key, paceMs, hasPace && isOld)
 	if hasLatency && !limitKnown && o.Version == m.From {
 		// Without a limit the answer cannot be classified as slow or not. Counting it
 		// as fast would make the old version look faster than it is.
@@ -123,6 +123,27 @@
 	if hasLatency && limitKnown && o.latencyRatio() > limit {
 		counts.Slow++
 	}
+	if hasPace && paceLimitKnown {
+		counts.Paced++
+		if paceMs > paceLimit {
+			counts.SlowPaced++
+		}
+	}
+}
+
+// observeOld returns the 90th percentile of the old version's values on a route, and then
+// adds a value to them if it is one of the old version.
+func observeOld(values map[routeKey]*histogram, key routeKey, value float64, isOld bool) (limit float64, known bool) {
+	h := values[key]
+	if h == nil {
+		h = &histogram{}
+		values[key] = h
+	}
+	limit, known = h.percentile90()
+	if isOld {
+		h.add(value)
+	}
+	return limit, known
 }
 
 // latencyRatio returns the latency divided by the expected latency, or in
--- a/rollout/comparison.go
+++ b/rollout/comparison.go
@@ -125,17 +125,17 @@
 func (t *Tally) baseline(p *versionPair, m *metric) baseline {
 	for _, grouping := range [...]int{byRouteTargetLoad, byRouteLoad} {
 		c := &t.totals[grouping][p.groupIndex[grouping]].old
-		if c.Requests >= minBaselineAnswers {
-			return baseline{trials{n: c.Requests, k: m.faults(*c)}, true}
+		if m.answers(*c) >= minBaselineAnswers {
+			return baseline{m.trials(*c), true}
 		}
 	}
 	if m.dependsOnLoad {
-		if c := t.oldAtLoadOrAbove(p.key); c.Requests >= minBaselineAnswers {
-			return baseline{trials{n: c.Requests, k: m.faults(c)}, true}
+		if c := t.oldAtLoadOrAbove(p.key); m.answers(c) >= minBaselineAnswers {
+			return baseline{m.trials(c), true}
 		}
 	}
 	c := &t.totals[byRoute][p.groupIndex[byRoute]].old
-	return baseline{old: trials{n: c.Requests, k: m.faults(*c)}}
+	return baseline{old: m.trials(*c)}
 }
 
 // oldAtLoadOrAbove returns the old version's answers on the route of a stratum at its load
@@ -161,6 +161,9 @@
 	out = make([]comparison, len(view.tally.totals[grouping]))
 	for i := range view.active {
 		a := &view.active[i]
+		if m.answers(a.new) == 0 {
+			continue
+		}
 		if !baselines[i].matched && m.dependsOnLoad && grouping != byRouteLoad && grouping != byRouteTargetLoad {
 			continue
 		}
@@ -170,12 +173,12 @@
 			compared++
 		}
 		c.matched = c.matched && baselines[i].matched
-		c.add(baselines[i].old, trials{n: a.new.Requests, k: m.faults(a.new)}, m)
+		c.add(baselines[i].old, m.trials(a.new), m)
 		// Several strata may use the same baseline; its answers must not count more
 		// than once.
-		limit := view.tally.totals[byRoute][a.pair.groupIndex[byRoute]].old.Requests
+		limit := m.answers(view.tally.totals[byRoute][a.pair.groupIndex[byRoute]].old)
 		if grouping == ungrouped {
-			limit = view.tally.totals[ungrouped][0].old.Requests
+			limit = m.answers(view.tally.totals[ungrouped][0].old)
 		}
 		c.updateOld(limit + m.assumedOld.n)
 	}
@@ -242,9 +245,9 @@
 			old.add(recent)
 		}
 	}
-	if old.Requests < minBaselineAnswers {
+	if m.answers(old) < minBaselineAnswers {
 		return math.Inf(1)
 	}
-	recentOnly := comparison{old: trials{n: old.Requests, k: m.faults(old)}, new: c.new, matched: c.matched}
+	recentOnly := comparison{old: m.trials(old), new: c.new, matched: c.matched}
 	return recentOnly.badRatio(m)
 }
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -29,8 +29,10 @@
 
 // metric is one kind of fault by which the test compares the versions.
 type metric struct {
-	name   string               // as in Verdict.Reason
-	faults func(Counts) float64 // the number of answers with the fault
+	name string // as in Verdict.Reason
+	// answers is the number of answers that can have the fault, and faults that of those with
+	// it.
+	answers, faults func(Counts) float64
 	// tolerated separates good from bad versions: a rate on the line is still good.
 	tolerated bound
 	// toleratedUnmatched replaces tolerated at load levels at which the old version
@@ -51,11 +53,17 @@
 	badPrior   betaPrior // of a bad version's rate
 }
 
+// trials returns the answers that can have the fault and those with it.
+func (m *metric) trials(c Counts) trials {
+	return trials{n: m.answers(c), k: m.faults(c)}
+}
+
 // metrics are the compared kinds of faults. The tolerated bounds are design choices:
-// the error rate may rise by half of the old rate plus 0.5%, and the rate of answers
-// slower than the old version's 90th percentile (9th decile) from 10% to 18%.
+// the error rate may rise by half of the old rate plus 0.5%, and the rates of answers and of
+// streams slower than the old version's 90th percentile (9th decile) from 10% to 18%.
 var metrics = []metric{{
 	name:               "errors",
+	answers:            func(c Counts) float64 { return c.Requests },
 	faults:             func(c Counts) float64 { return c.Errors },
 	tolerated:          bound{offset: 0.005, slope: 1.5},
 	toleratedUnmatched: bound{offset: 0.02, slope: 2},
@@ -66,6 +74,7 @@
 	badPrior:           betaPrior{alpha: 0.5, beta: 0.5},
 }, {
 	name:               "slow answers",
+	answers:            func(c Counts) float64 { return c.Requests },
 	faults:             func(c Counts) float64 { return c.Slow },
 	tolerated:          bound{offset: 0.05, slope: 1.3},
 	toleratedUnmatched: bound{offset: 0.45, slope: 1},
@@ -75,10 +84,22 @@
 	assumedOld:         trials{n: 20, k: 2},
 	oldPrior:           betaPrior{alpha: 1, beta: 9},
 	badPrior:           betaPrior{alpha: 1, beta: 1},
+}, {
+	name:               "slow streams",
+	answers:            func(c Counts) float64 { return c.Paced },
+	faults:             func(c Counts) float64 { return c.SlowPaced },
+	tolerated:          bound{offset: 0.05, slope: 1.3},
+	toleratedUnmatched: bound{offset: 0.45, slope: 1},
+	dependsOnLoad:      true,
+	harmedShare:        0.02,
+	minExcess:          0.15,
+	assumedOld:         trials{n: 20, k: 2},
+	oldPrior:           betaPrior{alpha: 1, beta: 9},
+	badPrior:           betaPrior{alpha: 1, beta: 1},
 }}
 
 // SequentialTest compares both versions by sequential probability ratio tests, on
-// errors and on slow answers, in every group of every grouping, since the start of
+// errors, slow answers and slow streams, in every group of every grouping, since the start of
 // the attempt and over windows of time. The error probabilities are split over all
 // comparisons. It is the production Evaluator.
 type SequentialTest struct {
--- a/rollout/sequential_test.go
+++ b/rollout/sequential_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -197,3 +198,31 @@
 	}
 	assert.Assert(t, bad <= 1, "%d good versions were called bad", bad)
 }
+
+// Guards against a version whose streams take several times as long being kept because its
+// first tokens come in time.
+func TestVersionWithSlowStreamsIsFound(t *testing.T) {
+	split := NewTrafficSplit()
+	tally := NewTally("v1", "v2")
+	collector := NewCollector(split, "o")
+	m := ActiveMove{Move: "m", Attempt: 1, From: "v1", To: "v2"}
+	r := rand.New(rand.NewPCG(1, 8))
+	for second := range 10 {
+		now := startTime.Add(time.Duration(second) * time.Second)
+		for range 100 {
+			o := Observation{Service: "s", Version: "v1", Route: "r", Target: "t", Latency: 30 * time.Millisecond, Pace: time.Duration(15+r.IntN(10)) * time.Millisecond}
+			if r.Float64() < 0.05 {
+				o.Version, o.Pace = "v2", 3*o.Pace
+			}
+			collector.countAnswer(&m, &o)
+		}
+		for _, e := range collector.Drain() {
+			tally.Merge(now, e)
+		}
+		if v := NewSequentialTest().SplitAmong(2).Evaluate(tally, now, 2000); v.Bad {
+			assert.Assert(t, strings.HasPrefix(v.Reason, "slow streams"), v.Reason)
+			return
+		}
+	}
+	t.Fatal("the version passed")
+}
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -17,6 +17,10 @@
 	// Slow counts answers that took longer than 9 of 10 answers of the old version on
 	// the same route.
 	Slow uint32
+	// Paced counts streamed answers with a known pace, and SlowPaced those of them that took
+	// longer between two events than 9 of 10 such answers of the old version on the same
+	// route.
+	Paced, SlowPaced uint32
 }
 
 // Evidence carries the counts of one origin since its last message.
@@ -43,13 +47,15 @@
 
 // Counts are answers of one version in one stratum.
 type Counts struct {
-	Requests, Errors, Slow float64
+	Requests, Errors, Slow, Paced, SlowPaced float64
 }
 
 func (c *Counts) add(o Counts) {
 	c.Requests += o.Requests
 	c.Errors += o.Errors
 	c.Slow += o.Slow
+	c.Paced += o.Paced
+	c.SlowPaced += o.SlowPaced
 }
 
 // stratum is a combination of route, target and load level. Versions are compared only
@@ -140,9 +146,11 @@
 	key := stratum{route: c.Route, target: c.Target, load: c.Load}
 	p := t.pairFor(key)
 	counts := Counts{
-		Requests: float64(c.Requests),
-		Errors:   float64(min(c.Errors, c.Requests)),
-		Slow:     float64(min(c.Slow, c.Requests)),
+		Requests:  float64(c.Requests),
+		Errors:    float64(min(c.Errors, c.Requests)),
+		Slow:      float64(min(c.Slow, c.Requests)),
+		Paced:     float64(c.Paced),
+		SlowPaced: float64(min(c.SlowPaced, c.Paced)),
 	}
 	p.add(t.intervalAt(now), c.Version == t.To, counts)
 	if c.Version == t.To {
