rollout: know the usual latencies and paces when a move begins

Cause: each daemon learned the limit above which an answer is slow from 50 answers of the old version on the same route, counted from the start of the move; until then, answers of the new version counted as fast ones.

Change: usual values are kept at all times, bounded, by version and route, and by service for routes with few requests; answers that cannot be classified count for errors only. The pace is compared with the old version's third quartile, since the prefill of other requests slows one in ten streams of any version.

TestCollector demanded that nothing is counted before the limit is known. It is replaced by the demand that such answers are not counted as timed, and that they still count for errors. TestLimitsAreKnownWhenAMoveBegins and TestRareRoutesUseTheLimitOfTheService failed before.

The operator is not told that the move was taken back; that is another fault.

--- a/rollout/aggregator.go
+++ b/rollout/aggregator.go
@@ -88,6 +88,7 @@
 	}
 	sum.Requests += c.Requests
 	sum.Errors += c.Errors
+	sum.Timed += c.Timed
 	sum.Slow += c.Slow
 	sum.Paced += c.Paced
 	sum.SlowPaced += c.SlowPaced
--- a/rollout/collector.go
+++ b/rollout/collector.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // loadLevels is the number of load levels: each covers a quarter of a target's
@@ -40,17 +42,30 @@
 	Expected time.Duration
 }
 
-// Collector counts the answers that one entry observes while moves are in
-// progress. It is safe for concurrent use.
+// Collector counts the answers that one entry observes while moves are in progress. It
+// keeps the usual latencies and paces at all times, so that answers can be classified as
+// soon as a move begins. It is safe for concurrent use.
 type Collector struct {
 	trafficSplit *TrafficSplit
 	origin       string
 
-	mu           sync.Mutex
-	attempts     map[attemptKey]*attemptCounts
-	oldLatencies map[routeKey]*histogram // latency ratios of the old version
-	oldPaces     map[routeKey]*histogram // paces of the old version, in milliseconds
-	sequence     uint64
+	mu       sync.Mutex
+	attempts map[attemptKey]*attemptCounts
+	// usual holds the usual values of each version on each route, and on anyRoute.
+	usual    *simplelru.LRU[routeKey, *usualValues]
+	sequence uint64
+}
+
+// anyRoute stands for all routes of a service together.
+const anyRoute = ""
+
+// maxUsualRoutes bounds the routes and versions with usual values, to about 3 MB.
+const maxUsualRoutes = 1024
+
+// usualValues are the latency ratios of one version on a route, and its paces in
+// milliseconds.
+type usualValues struct {
+	latencies, paces histogram
 }
 
 type attemptKey struct {
@@ -59,7 +74,7 @@
 }
 
 type routeKey struct {
-	service, route string
+	service, route, version string
 }
 
 // countsKey identifies the counts of one version in one stratum.
@@ -76,76 +91,97 @@
 // NewCollector returns a collector for the moves that trafficSplit knows. The origin
 // must be unique to this run of the daemon, such as its name and incarnation.
 func NewCollector(trafficSplit *TrafficSplit, origin string) *Collector {
+	usual, err := simplelru.NewLRU[routeKey, *usualValues](maxUsualRoutes, nil)
+	if err != nil {
+		// The only possible error is a size that is not positive.
+		panic(err)
+	}
 	return &Collector{
 		trafficSplit: trafficSplit,
 		origin:       origin,
 		attempts:     make(map[attemptKey]*attemptCounts),
-		oldLatencies: make(map[routeKey]*histogram),
-		oldPaces:     make(map[routeKey]*histogram),
+		usual:        usual,
 	}
 }
 
-// Observe counts one answer. It returns at once when no move of the service is in
-// progress.
+// Observe records the latency and the pace of one answer, and counts the answer for the
+// moves of its service that are in progress.
 func (c *Collector) Observe(o Observation) {
-	active := c.trafficSplit.Active(o.Service)
-	if len(active) == 0 {
-		return
-	}
+	c.observe(c.trafficSplit.Active(o.Service), &o)
+}
+
+func (c *Collector) observe(active []ActiveMove, o *Observation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range active {
 		if m := &active[i]; o.Version == m.From || o.Version == m.To {
-			c.countAnswer(m, &o)
+			c.countAnswer(m, o)
+		}
+	}
+	for _, route := range [...]string{o.Route, anyRoute} {
+		usual := c.usualOf(routeKey{o.Service, route, o.Version})
+		if o.hasLatency() {
+			usual.latencies.add(o.latencyRatio())
+		}
+		if o.hasPace() {
+			usual.paces.add(o.paceMs())
 		}
 	}
 }
 
-// countAnswer counts an answer for one move. The caller holds the mutex.
-func (c *Collector) countAnswer(m *ActiveMove, o *Observation) {
-	key := routeKey{service: o.Service, route: o.Route}
-	isOld := o.Version == m.From
-	hasLatency := !o.Failed && o.Latency > 0
-	limit, limitKnown := observeOld(c.oldLatencies, key, o.latencyRatio(), hasLatency && isOld)
-	hasPace := !o.Failed && o.Pace > 0
-	paceMs := float64(o.Pace) / float64(time.Millisecond)
-	paceLimit, paceLimitKnown := observeOld(c.oldPaces, key, paceMs, hasPace && isOld)
-	if hasLatency && !limitKnown && o.Version == m.From {
-		// Without a limit the answer cannot be classified as slow or not. Counting it
-		// as fast would make the old version look faster than it is.
-		return
+// usualOf returns the usual values of a version on a route. The caller holds the mutex.
+func (c *Collector) usualOf(key routeKey) *usualValues {
+	usual, found := c.usual.Get(key)
+	if !found {
+		usual = &usualValues{latencies: histogram{quantile: latencyQuantile}, paces: histogram{quantile: paceQuantile}}
+		c.usual.Add(key, usual)
 	}
+	return usual
+}
+
+// countAnswer counts an answer for one move. While too little is known of the old version to
+// tell whether the answer is slow, it is counted for errors only. The caller holds the
+// mutex.
+func (c *Collector) countAnswer(m *ActiveMove, o *Observation) {
 	counts := c.stratumCounts(attemptKey{m.Move, m.Attempt}, o)
 	counts.Requests++
 	if o.Failed {
 		counts.Errors++
 	}
-	if hasLatency && limitKnown && o.latencyRatio() > limit {
-		counts.Slow++
+	if limit, known := c.limit(m, o, func(u *usualValues) *histogram { return &u.latencies }); known && o.hasLatency() {
+		counts.Timed++
+		if o.latencyRatio() > limit {
+			counts.Slow++
+		}
 	}
-	if hasPace && paceLimitKnown {
+	if limit, known := c.limit(m, o, func(u *usualValues) *histogram { return &u.paces }); known && o.hasPace() {
 		counts.Paced++
-		if paceMs > paceLimit {
+		if o.paceMs() > limit {
 			counts.SlowPaced++
 		}
 	}
 }
 
-// observeOld returns the 90th percentile of the old version's values on a route, and then
-// adds a value to them if it is one of the old version.
-func observeOld(values map[routeKey]*histogram, key routeKey, value float64, isOld bool) (limit float64, known bool) {
-	h := values[key]
-	if h == nil {
-		h = &histogram{}
-		values[key] = h
-	}
-	limit, known = h.percentile90()
-	if isOld {
-		h.add(value)
+// limit returns the limit that the old version's values set on the route of an observation, or on all routes of the service while the route has too few. Any limit may
+// serve, since both versions are classified by the same one. The caller holds the mutex.
+func (c *Collector) limit(m *ActiveMove, o *Observation, values func(*usualValues) *histogram) (limit float64, known bool) {
+	limit, known = values(c.usualOf(routeKey{o.Service, o.Route, m.From})).limit()
+	if !known {
+		limit, known = values(c.usualOf(routeKey{o.Service, anyRoute, m.From})).limit()
 	}
 	return limit, known
 }
 
+// hasLatency and hasPace report whether the observation has a latency or pace that can be
+// compared.
+func (o *Observation) hasLatency() bool { return !o.Failed && o.Latency > 0 }
+func (o *Observation) hasPace() bool    { return !o.Failed && o.Pace > 0 }
+
+// paceMs returns the pace in milliseconds.
+func (o *Observation) paceMs() float64 {
+	return float64(o.Pace) / float64(time.Millisecond)
+}
+
 // latencyRatio returns the latency divided by the expected latency, or in
 // milliseconds without an expected one.
 func (o *Observation) latencyRatio() float64 {
--- a/rollout/histogram.go
+++ b/rollout/histogram.go
@@ -10,18 +10,22 @@
 	octaves      = 20
 	bucketCount  = 2 * octaves * bucketsPerOctave
 	middleBucket = octaves * bucketsPerOctave
-	// minSamples is the number of values from which percentile90 returns a result.
+	// minSamples is the number of values from which limit returns a result.
 	minSamples = 50
 	// halveAtSamples is the number of values at which all counts are halved.
 	halveAtSamples = 4000
-	// slowQuantile is the quantile that percentile90 estimates.
-	slowQuantile = 0.9
+	// latencyQuantile and paceQuantile are the quantiles of the old version's latencies and
+	// paces above which an answer counts as slow. The pace has the lower one, because the
+	// prefill of other requests slows down one in ten streams of any version.
+	latencyQuantile = 0.9
+	paceQuantile    = 0.75
 )
 
-// histogram estimates the 90th percentile of the newest few thousand values. Its
+// histogram estimates a quantile of the newest few thousand values. Its
 // buckets are logarithmic; all counts are halved at halveAtSamples values, so that
 // old values lose weight.
 type histogram struct {
+	quantile    float64
 	counts      [bucketCount]uint32
 	total       uint32
 	cachedLimit float64
@@ -46,22 +50,22 @@
 	}
 }
 
-// percentile90 returns the value that 9 of 10 values do not exceed; ok is false with
-// fewer than minSamples values. The result is cached for 16 values.
-func (h *histogram) percentile90() (limit float64, ok bool) {
+// limit returns the value that the histogram's quantile of the values does not exceed; ok is
+// false with fewer than minSamples values. The result is cached for 16 values.
+func (h *histogram) limit() (limit float64, ok bool) {
 	if h.total < minSamples {
 		return 0, false
 	}
 	if !h.cacheValid {
-		h.cachedLimit = h.computePercentile90()
+		h.cachedLimit = h.computeLimit()
 		h.cacheValid = true
 	}
 	return h.cachedLimit, true
 }
 
-// computePercentile90 returns the upper edge of the bucket with the 90th percentile.
-func (h *histogram) computePercentile90() float64 {
-	aboveQuantile := float64(h.total) * (1 - slowQuantile)
+// computeLimit returns the upper edge of the bucket with the quantile.
+func (h *histogram) computeLimit() float64 {
+	aboveQuantile := float64(h.total) * (1 - h.quantile)
 	for i := bucketCount - 1; i > 0; i-- {
 		aboveQuantile -= float64(h.counts[i])
 		if aboveQuantile < 0 {
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -59,8 +59,9 @@
 }
 
 // metrics are the compared kinds of faults. The tolerated bounds are design choices:
-// the error rate may rise by half of the old rate plus 0.5%, and the rates of answers and of
-// streams slower than the old version's 90th percentile (9th decile) from 10% to 18%.
+// the error rate may rise by half of the old rate plus 0.5%, the rate of answers slower than
+// the old version's 90th percentile (9th decile) from 10% to 18%, and that of streams slower
+// than its 75th percentile from 25% to 37.5%.
 var metrics = []metric{{
 	name:               "errors",
 	answers:            func(c Counts) float64 { return c.Requests },
@@ -74,7 +75,7 @@
 	badPrior:           betaPrior{alpha: 0.5, beta: 0.5},
 }, {
 	name:               "slow answers",
-	answers:            func(c Counts) float64 { return c.Requests },
+	answers:            func(c Counts) float64 { return c.Timed },
 	faults:             func(c Counts) float64 { return c.Slow },
 	tolerated:          bound{offset: 0.05, slope: 1.3},
 	toleratedUnmatched: bound{offset: 0.45, slope: 1},
@@ -93,8 +94,8 @@
 	dependsOnLoad:      true,
 	harmedShare:        0.02,
 	minExcess:          0.15,
-	assumedOld:         trials{n: 20, k: 2},
-	oldPrior:           betaPrior{alpha: 1, beta: 9},
+	assumedOld:         trials{n: 20, k: 5},
+	oldPrior:           betaPrior{alpha: 2.5, beta: 7.5},
 	badPrior:           betaPrior{alpha: 1, beta: 1},
 }}
 
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -14,12 +14,12 @@
 	Load     uint32
 	Requests uint32
 	Errors   uint32
-	// Slow counts answers that took longer than 9 of 10 answers of the old version on
-	// the same route.
-	Slow uint32
-	// Paced counts streamed answers with a known pace, and SlowPaced those of them that took
-	// longer between two events than 9 of 10 such answers of the old version on the same
-	// route.
+	// Timed counts answers whose latency could be compared, and Slow those of them that took
+	// longer than 9 of 10 answers of the old version on the same route.
+	Timed, Slow uint32
+	// Paced counts streamed answers whose pace could be compared, and SlowPaced those of them
+	// that took longer between two events than three of four such answers of the old version
+	// on the same route.
 	Paced, SlowPaced uint32
 }
 
@@ -47,12 +47,13 @@
 
 // Counts are answers of one version in one stratum.
 type Counts struct {
-	Requests, Errors, Slow, Paced, SlowPaced float64
+	Requests, Errors, Timed, Slow, Paced, SlowPaced float64
 }
 
 func (c *Counts) add(o Counts) {
 	c.Requests += o.Requests
 	c.Errors += o.Errors
+	c.Timed += o.Timed
 	c.Slow += o.Slow
 	c.Paced += o.Paced
 	c.SlowPaced += o.SlowPaced
@@ -148,7 +149,8 @@
 	counts := Counts{
 		Requests:  float64(c.Requests),
 		Errors:    float64(min(c.Errors, c.Requests)),
-		Slow:      float64(min(c.Slow, c.Requests)),
+		Timed:     float64(c.Timed),
+		Slow:      float64(min(c.Slow, c.Timed)),
 		Paced:     float64(c.Paced),
 		SlowPaced: float64(min(c.SlowPaced, c.Paced)),
 	}
