orders: report the end of a move after its lease is released

Cause: only the holder of the lease reported phases, every 250 ms. A move that has ended needs no holder, so the lease is released at once, mostly before the next report.

Change: the daemon that recorded the end reports it, or another live one in its place. A phase is reported only for the order that its move belongs to, since the move of an earlier order may still be known.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -35,11 +35,16 @@
 // moveSoakTime is the time at full share after which a move is done.
 const moveSoakTime = 500 * time.Millisecond
 
-// toObject returns the move as operators would publish it. Its name contains the version, so
-// that a later order for another version is a different move.
+// MoveName returns the name of the move of an order. It contains the version, so that a later
+// order for another version is a different move.
+func (o Order) MoveName() string {
+	return o.Service + ".to." + o.To
+}
+
+// toObject returns the move as operators would publish it.
 func (m *Move) toObject() object.Move {
 	return object.Move{
-		Name:     m.Service + ".to." + m.To,
+		Name:     m.MoveName(),
 		Service:  m.Service,
 		From:     StableVersion(m.Service),
 		To:       CanaryVersion(m.Service),
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -190,9 +190,11 @@
 		Logger:       g.logger,
 	})
 	g.orderHandler = newOrderHandler(orderHandlerConfig{
+		self:        self,
 		table:       g.storeClient,
-		moves:       g.moves,
 		setMove:     g.watcher.SetMove,
+		moveStatus:  g.moves.Status,
+		liveAll:     g.topologies.liveAll,
 		writeStatus: g.platformStore.WriteOrderPhase,
 		logger:      g.logger,
 	})
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -4,14 +4,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/catalog"
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/fault"
-	"github.com/marjoramflow/marjoramflow/internal/moves"
 	"github.com/marjoramflow/marjoramflow/provider"
+	"github.com/marjoramflow/marjoramflow/rendezvous"
 	"github.com/marjoramflow/marjoramflow/rollout"
 )
 
@@ -43,9 +44,12 @@
 
 // orderHandlerConfig holds the parts of an orderHandler. All are required.
 type orderHandlerConfig struct {
+	self    string
 	table   provider.Table
-	moves   *moves.Manager
 	setMove func(catalog.Move)
+	// moveStatus returns the state of all moves, and liveAll the live daemons.
+	moveStatus func() []rollout.MoveStatus
+	liveAll    func() []string
 	// writeStatus reports the phase of an order to the operator.
 	writeStatus func(ctx context.Context, order catalog.Order, phase rollout.Phase) error
 	logger      *eventlog.Logger
@@ -142,8 +146,8 @@
 	return row.Deadline, nil
 }
 
-// run starts the queued orders, and reports the phases of the moves whose leases this daemon
-// holds until the context ends. It returns nil.
+// run starts the queued orders, and reports the phases of the moves for which this daemon is
+// the reporter until the context ends. It returns nil.
 func (h *orderHandler) run(ctx context.Context) error {
 	h.mu.Lock()
 	h.ctx = ctx
@@ -160,15 +164,17 @@
 	return nil
 }
 
-// reportPhases reports each changed phase of the held moves to the operator. A failed report
-// is repeated in the next call.
+// reportPhases reports each changed phase of the orders' moves to the operator, if this
+// daemon is the reporter. A failed report is repeated in the next call.
 func (h *orderHandler) reportPhases(ctx context.Context) {
-	for _, status := range h.moves.Status() {
+	for _, status := range h.moveStatus() {
 		h.mu.Lock()
 		order, known := h.byService[status.Service]
 		reported := h.reportedPhases[status.Move] == status.Phase
 		h.mu.Unlock()
-		if !known || reported || !status.HoldsLease || status.Phase == rollout.Pending {
+		// The move may still be that of an earlier order.
+		current := known && order.MoveName() == status.Move
+		if !current || reported || status.Phase == rollout.Pending || !h.isReporter(&status) {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, tableCallTimeout)
@@ -184,6 +190,20 @@
 	}
 }
 
+// isReporter reports whether this daemon tells the operator the phase of a move: while the
+// move goes on, the holder of its lease; once it has ended, the daemon that recorded the end,
+// which may have released the lease since, or another live one in its place.
+func (h *orderHandler) isReporter(status *rollout.MoveStatus) bool {
+	if !status.Phase.Final() {
+		return status.HoldsLease
+	}
+	live := h.liveAll()
+	if slices.Contains(live, status.Holder) {
+		return status.Holder == h.self
+	}
+	return rendezvous.Owner(status.Move, live) == h.self
+}
+
 // preloadedVersions replaces the commands that make targets load versions, for targets that
 // start with their version loaded. It implements rollout.Loader and provider.Weights.
 type preloadedVersions struct{}
--- a/daemon/orders_test.go
+++ b/daemon/orders_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -67,3 +68,55 @@
 func (passingEvaluator) Evaluate(*rollout.Tally, time.Time, uint32) rollout.Verdict {
 	return rollout.Verdict{Good: true}
 }
+
+// reportedBy returns the phases that a daemon reports for the move of an order in a state.
+func reportedBy(t *testing.T, self string, order catalog.Order, status rollout.MoveStatus, live ...string) []rollout.Phase {
+	t.Helper()
+	var reported []rollout.Phase
+	h := newOrderHandler(orderHandlerConfig{
+		self: self, table: memtable.New(), logger: eventlog.Discard(), setMove: func(catalog.Move) {},
+		moveStatus: func() []rollout.MoveStatus { return []rollout.MoveStatus{status} },
+		liveAll:    func() []string { return live },
+		writeStatus: func(_ context.Context, _ catalog.Order, phase rollout.Phase) error {
+			reported = append(reported, phase)
+			return nil
+		},
+	})
+	h.ctx = t.Context()
+	h.accept(order)
+	h.tasks.Wait()
+	h.reportPhases(t.Context())
+	h.reportPhases(t.Context())
+	return reported
+}
+
+// Guards against an operator who is never told that a version was taken back, because the
+// lease of the move was released before the next report.
+func TestEndOfAMoveIsReportedWithoutItsLease(t *testing.T) {
+	order := catalog.Order{Service: "s", To: "v2", MaxDuration: 12 * time.Second}
+	for _, phase := range []rollout.Phase{rollout.Reversed, rollout.Done} {
+		status := rollout.MoveStatus{Move: "s.to.v2", Service: "s", Phase: phase, Holder: "d1"}
+		assert.DeepEqual(t, reportedBy(t, "d1", order, status, "d0", "d1", "d2"), []rollout.Phase{phase})
+		assert.Equal(t, len(reportedBy(t, "d2", order, status, "d0", "d1", "d2")), 0)
+	}
+}
+
+// Guards against the end of a move that is never reported, because the daemon that recorded
+// it has died.
+func TestEndOfAMoveIsReportedInsteadOfADeadDaemon(t *testing.T) {
+	order := catalog.Order{Service: "s", To: "v2", MaxDuration: 12 * time.Second}
+	status := rollout.MoveStatus{Move: "s.to.v2", Service: "s", Phase: rollout.Reversed, Holder: "dead"}
+	reports := 0
+	for _, self := range []string{"d0", "d1", "d2"} {
+		reports += len(reportedBy(t, self, order, status, "d0", "d1", "d2"))
+	}
+	assert.Equal(t, reports, 1)
+}
+
+// Guards against the end of an earlier move being reported as that of a new order, after which
+// the operator would stop targets in use.
+func TestEndOfAnEarlierMoveIsNotReported(t *testing.T) {
+	order := catalog.Order{Service: "s", To: "v3", MaxDuration: 12 * time.Second}
+	status := rollout.MoveStatus{Move: "s.to.v2", Service: "s", Phase: rollout.Done, Holder: "d1", HoldsLease: true}
+	assert.Equal(t, len(reportedBy(t, "d1", order, status, "d1")), 0)
+}
