avoidance: heed targets that say that they leave or want no requests for a time

New rules of the users: a target that leaves says so in all its answers (Server-Leaving), and one that answers 503 may state for how long it wants nothing from this VM (Retry-After). Both were ignored: a target whose registry entry does not say draining got requests until the entry was removed, and an overloaded one got the next request at once.

Change: the daemon that got such an answer excludes the target from its reservations and gives back a grant on it, until the target starts again or the time is over. Health checks of such targets are left out. If no other target is left, callers are told when the first one is used again. What a target said holds for the daemon that it was said to; the others learn it from their own answers.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -174,6 +174,8 @@
 			KVTokens: s.manifest.KVTokens[i.Service],
 			Versions: []string{s.versionName(&i)},
 			Leaving:  i.Draining,
+
+			StartedAt: i.StartedAt,
 		})
 	}
 	return out
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/marjoramflow/marjoramflow/avoidance"
 	"github.com/marjoramflow/marjoramflow/catalog"
 	"github.com/marjoramflow/marjoramflow/entry"
 	"github.com/marjoramflow/marjoramflow/estimate"
@@ -65,6 +66,7 @@
 	quarantine      *quarantinesync.Syncer
 	blocklist       *blocklistsync.Syncer
 	accountLimiter  *quota.Limiter
+	avoidance       *avoidance.Set
 	reachability    *reachability.Checker
 	linkBudget      linkBudget
 	metrics         *metrics.Registry
@@ -110,6 +112,7 @@
 		pool:            upstream.NewPool(upstream.Options{}),
 		topologies:      newTopologies(s.DataCentre, s.Region),
 		startup:         newStartup(),
+		avoidance:       avoidance.New(),
 		trafficSplit:    rollout.NewTrafficSplit(),
 		metrics:         metrics.New(metrics.DefaultLimits),
 		outputPredictor: &outputPredictor{model: estimate.New()},
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -218,6 +218,7 @@
 		Sender:        g.mesh,
 		Topologies:    g.topologies,
 		LinkBudget:    g.linkBudget,
+		Avoidance:     g.avoidance,
 		OnUnreachable: g.members.ReportUnreachable,
 		OnUnanswered:  g.members.ReportUnanswered,
 	})
@@ -231,6 +232,7 @@
 		RetryPolicy:   g.retryPolicies,
 		Forwarder:     g.forwarder,
 		Blocklist:     g.blocklist,
+		Avoidance:     g.avoidance,
 		Sleep:         sleep,
 		// The rest of the memory is for the daemon's own messages and state.
 		AnswerMemory: bytebudget.New(g.memoryBytes(answerMemoryShare)),
--- a/daemon/gateway_callbacks.go
+++ b/daemon/gateway_callbacks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/catalog"
@@ -144,6 +145,9 @@
 // checkHealth sends a health check to a target. It is also the probe of ejected targets: one
 // that reports to be healthy gets requests again, and is ejected again if they fail.
 func (g *Gateway) checkHealth(t *object.Target) error {
+	if g.avoidance.Avoids(time.Now(), t) {
+		return fault.New("gateway.trial", t.Name, "the target wants no requests")
+	}
 	index := g.topologies.Index()
 	if index == nil {
 		return fault.New("gateway.trial", t.Name, "no configuration is in force")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,8 @@
 	// permits all.
 	Forwarder Forwarder
 	Blocklist Blocklist
+	// Avoidance is told what targets say in their answers to opaque requests; nil ignores it.
+	Avoidance Avoidance
 	// AnswerMemory bounds the memory of answers that are buffered before they are sent
 	// to the caller; nil means no bound.
 	AnswerMemory *bytebudget.Budget
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -182,6 +182,7 @@
 		return err
 	}
 	defer reply.Body.Close()
+	f.recordWishes(grant, reply)
 	if reply.Status == http.StatusOK && f.request.Ingress.Stream {
 		return f.relayStream(reply, grant.Target.Name, report, started, unresponsiveTimer)
 	}
@@ -189,6 +190,19 @@
 	return f.relayBuffered(ctx, reply, grant.Target.Name, started)
 }
 
+// recordWishes records whether the target wants more requests.
+func (f *forwardRun) recordWishes(grant *Grant, reply *Reply) {
+	if f.runner.Avoidance == nil {
+		return
+	}
+	if reply.Leaving {
+		f.runner.Avoidance.Leave(time.Now(), &grant.Target)
+	}
+	if reply.Pause > 0 {
+		f.runner.Avoidance.Pause(time.Now(), &grant.Target, reply.Pause)
+	}
+}
+
 // attemptError returns the error of an attempt that failed after its dispatch.
 func attemptError(kind attempt.Kind, target string, status int, err error) error {
 	return &attempt.Error{Kind: kind, Target: target, Status: status, Err: err}
--- a/entry/forward_ports.go
+++ b/entry/forward_ports.go
@@ -85,7 +85,11 @@
 	Delimited bool
 	// NotRun is set when the target states that it did not run the request.
 	NotRun bool
-	Body   ReplyBody
+	// Leaving is set when the target states that it leaves, and Pause is the time for which it
+	// wants no requests from this daemon; 0 means that it does not say.
+	Leaving bool
+	Pause   time.Duration
+	Body    ReplyBody
 }
 
 // ReplyBody is the body of a reply. Read returns io.EOF only at the end of a complete body.
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -209,6 +209,15 @@
 	Answered(parts []uint64)
 }
 
+// Avoidance remembers the targets that want no more requests from this daemon. The grant
+// client does not return grants for them.
+type Avoidance interface {
+	// Leave records that a target said that it leaves, Pause that it wants no requests for a
+	// time.
+	Leave(now time.Time, target *object.Target)
+	Pause(now time.Time, target *object.Target, pause time.Duration)
+}
+
 // HedgePolicy decides whether an idempotent call that has no answer yet is sent to a
 // second target.
 type HedgePolicy interface {
--- a/internal/grants/client.go
+++ b/internal/grants/client.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/avoidance"
 	"github.com/marjoramflow/marjoramflow/blocklist"
 	"github.com/marjoramflow/marjoramflow/entry"
 	"github.com/marjoramflow/marjoramflow/internal/replytime"
@@ -55,13 +56,15 @@
 	TryCharge(tier, promptBytes, answerBytes int) bool
 }
 
-// Config holds the parts of a Client. All are required.
+// Config holds the parts of a Client. All but Avoidance are required.
 type Config struct {
 	// Self is the daemon's name.
 	Self       string
 	Sender     Sender
 	Topologies Topologies
 	LinkBudget LinkBudget
+	// Avoidance knows the targets that want no requests from this daemon; nil means none.
+	Avoidance *avoidance.Set
 	// OnUnreachable is called when an owner could not be reached.
 	OnUnreachable func(daemon string)
 	// OnUnanswered is called when an owner did not reply in the usual time.
--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -1,7 +1,9 @@
 package grants
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -33,7 +35,8 @@
 	// time.
 	unanswered bool
 	// leavingTarget names a granted target that the configuration of this daemon marks as
-	// leaving or no longer contains; the owner does not have that configuration yet.
+	// leaving or no longer contains, so that the owner does not have that configuration yet, or
+	// that wants no requests from this daemon.
 	leavingTarget string
 }
 
@@ -46,8 +49,34 @@
 // region, then other regions within the byte budget. When no owner answered, it
 // schedules the request in the daemon's own share of the slots. With AskAllGroups, it
 // first looks for an immediate grant in all data centres and then queues the request
-// in the group with the shortest expected wait.
+// in the group with the shortest expected wait. It excludes the targets that want no requests
+// from this daemon.
 func (c *Client) Reserve(ctx context.Context, request entry.GrantRequest) (*entry.Grant, error) {
+	avoided := c.avoidedTargets(request.Service)
+	if len(avoided) > 0 {
+		request.Exclude = append(slices.Clone(request.Exclude), avoided...)
+	}
+	grant, err := c.reserve(ctx, request)
+	var refusal *entry.Refusal
+	if errors.As(err, &refusal) && refusal.Code == entry.CodeNoTarget && len(avoided) > 0 {
+		refusal.RetryAfter = cmp.Or(c.Avoidance.NextUse(time.Now(), request.Service), refusal.RetryAfter)
+	}
+	return grant, err
+}
+
+// maxAvoided bounds the avoided targets that a message to an owner lists. A grant on a
+// further one is given back.
+const maxAvoided = 64
+
+// avoidedTargets returns targets of a service that want no requests from this daemon.
+func (c *Client) avoidedTargets(service string) []string {
+	if c.Avoidance == nil {
+		return nil
+	}
+	return c.Avoidance.Names(time.Now(), service, maxAvoided, c.Topologies.Target)
+}
+
+func (c *Client) reserve(ctx context.Context, request entry.GrantRequest) (*entry.Grant, error) {
 	if request.AskAllGroups {
 		if grant := c.reserveImmediate(ctx, &request); grant != nil {
 			return grant, nil
@@ -381,11 +410,11 @@
 	return askResult{refusal: refusalOf(reply)}, true
 }
 
-// acceptGrant registers a granted request and returns its grant. If the target is leaving
-// or no longer configured, it cancels the grant and returns the name of the target.
+// acceptGrant registers a granted request and returns its grant. If the target is leaving,
+// no longer configured or avoided, it cancels the grant and returns the name of the target.
 func (c *Client) acceptGrant(p *pendingReserve, reply *peerpb.ReserveReply) askResult {
 	target := c.Topologies.Target(reply.Target)
-	if target == nil || target.Leaving {
+	if target == nil || target.Leaving || (c.Avoidance != nil && c.Avoidance.Avoids(time.Now(), target)) {
 		c.cancel(p)
 		return askResult{leavingTarget: reply.Target}
 	}
--- a/internal/owners/protocol_test.go
+++ b/internal/owners/protocol_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/marjoramflow/marjoramflow/avoidance"
 	"github.com/marjoramflow/marjoramflow/entry"
 	"github.com/marjoramflow/marjoramflow/eventlog"
 	"github.com/marjoramflow/marjoramflow/internal/grants"
@@ -43,6 +44,8 @@
 	manager *Manager
 	client  *grants.Client
 	cancel  context.CancelFunc
+	// avoidance holds the targets that want no requests from this daemon.
+	avoidance *avoidance.Set
 
 	mu          sync.Mutex
 	topology    *topology.Topology
@@ -148,7 +151,7 @@
 }
 
 func (net *network) startNode(t *testing.T, name string) *node {
-	n := &node{name: name, network: net}
+	n := &node{name: name, network: net, avoidance: avoidance.New()}
 	n.manager = New(Config{
 		Self: name, Sender: nodeSender{net, name}, Logger: eventlog.Discard(),
 		OnConnectionLost: func(string, []owner.RunningRequest) {}, EjectionProbe: func(*object.Target) error { return nil },
@@ -158,7 +161,7 @@
 			n.replaced = append(n.replaced, target)
 		},
 	})
-	n.client = grants.New(grants.Config{Self: name, Sender: nodeSender{net, name}, Topologies: n, LinkBudget: n, OnUnreachable: n.recordUnreachable, OnUnanswered: n.recordUnreachable})
+	n.client = grants.New(grants.Config{Self: name, Sender: nodeSender{net, name}, Topologies: n, LinkBudget: n, Avoidance: n.avoidance, OnUnreachable: n.recordUnreachable, OnUnanswered: n.recordUnreachable})
 	ctx, cancel := context.WithCancel(t.Context())
 	n.cancel = cancel
 	go func() { _ = n.manager.Run(ctx) }()
--- a/object/types.go
+++ b/object/types.go
@@ -104,6 +104,9 @@
 	// requests, and those in flight finish. The administration API sets it on
 	// drain and clears it on undrain.
 	Leaving bool `json:"leaving,omitempty" yaml:"leaving,omitempty"`
+	// StartedAt is when the target's process started, as its platform states it; zero if
+	// unknown. Operators do not publish it.
+	StartedAt time.Time `json:"-" yaml:"-"`
 }
 
 // Version is one release of a service's back end.
