--- a/bench/e2e/crashing_part_test.go
+++ b/bench/e2e/crashing_part_test.go
@@ -28,6 +28,18 @@
 	assert.Assert(t, report.SoundLate >= minSoundShare*report.SoundBefore, "%s", report)
 }
 
+// Guards against a part that crashes targets anew after all daemons were killed, since none of
+// them remembers it.
+func TestCrashingPartStaysBlockedAfterARestart(t *testing.T) {
+	report := runCrashingPart(t, 20*time.Second, func(ctx context.Context, d *soak.Disturbance) {
+		time.Sleep(10 * time.Second)
+		assert.Check(t, d.RestartDaemons(ctx))
+	})
+	assert.Assert(t, report.Crashes > 0)
+	assert.Assert(t, report.LateArrivals <= maxLateArrivals, "%s", report)
+	assert.Assert(t, report.SoundLate >= minSoundShare*report.SoundBefore, "%s", report)
+}
+
 func runCrashingPart(t *testing.T, duration time.Duration, disturb func(context.Context, *soak.Disturbance)) *soak.CrashingPartReport {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), soakTimeout)
