--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -29,6 +29,9 @@
 	err error
 	// undelimited is set for an answer that ends with its connection.
 	undelimited bool
+	// leaving and pause are what the answer says about further requests.
+	leaving bool
+	pause   time.Duration
 	// failure is the kind of the error that is returned instead of an answer; 0 means none.
 	failure attempt.Kind
 	// hangs blocks the attempt until its context ends.
@@ -60,7 +63,7 @@
 		end = io.EOF
 	}
 	return &Reply{
-		Status: reply.status, Header: http.Header{"X-From": {d.Target.Name}}, Length: -1, NotRun: reply.notRun, Delimited: !reply.undelimited,
+		Status: reply.status, Header: http.Header{"X-From": {d.Target.Name}}, Length: -1, NotRun: reply.notRun, Delimited: !reply.undelimited, Leaving: reply.leaving, Pause: reply.pause,
 		Body: &scriptedBody{forwarder: f, Reader: io.MultiReader(strings.NewReader(reply.body), errReader{end})},
 	}, nil
 }
