--- a/blocklist/decide.go
+++ b/blocklist/decide.go
@@ -115,16 +115,16 @@
 // Merge applies a notice of another daemon about an accused or blocked set, or a row of the
 // table service. It returns the parts of the set that were answered here, with the time of
 // the last answer, which the other daemons do not know.
-func (t *Tracker) Merge(now time.Time, notice Block) []Begin {
+func (t *Tracker) Merge(now time.Time, notice Block) []Answer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var vetoes []Begin
+	var vetoes []Answer
 	notice.Parts = slices.DeleteFunc(slices.Clone(notice.Parts), func(part uint64) bool {
 		at, found := t.answered.Peek(part)
 		if !found || !notice.contradictedBy(at) {
 			return false
 		}
-		vetoes = append(vetoes, Begin{Parts: []uint64{part}, At: at})
+		vetoes = append(vetoes, Answer{Parts: []uint64{part}, At: at})
 		return true
 	})
 	if len(notice.Parts) == 0 || notice.State == Allowed || now.Sub(notice.LastLoss) > t.options.Expiry {
--- a/blocklist/evidence.go
+++ b/blocklist/evidence.go
@@ -157,16 +157,16 @@
 
 // Answered records that a target answered a request with these parts. When that lifts or
 // narrows an accused or blocked set, it returns the notice for the other daemons.
-func (t *Tracker) Answered(now time.Time, parts []uint64) (Begin, bool) {
+func (t *Tracker) Answered(now time.Time, parts []uint64) (Answer, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := t.noteAnswered(now, parts)
-	return Begin{Parts: changed, At: now}, len(changed) > 0
+	return Answer{Parts: changed, At: now}, len(changed) > 0
 }
 
-// MergeBegin applies a notice of another daemon, and returns the parts that it took out of
+// MergeAnswer applies a notice of another daemon, and returns the parts that it took out of
 // accused or blocked sets.
-func (t *Tracker) MergeBegin(b Begin) []uint64 {
+func (t *Tracker) MergeAnswer(b Answer) []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.noteAnswered(b.At, b.Parts)
--- a/blocklist/tracker_test.go
+++ b/blocklist/tracker_test.go
@@ -72,9 +72,9 @@
 	tracker.Tick(now)
 	assert.Equal(t, tracker.Check(now, []uint64{common, crashing}).State, Blocked)
 	assert.Equal(t, tracker.Check(now, []uint64{common}).State, Allowed)
-	begin, changed := tracker.Answered(now, []uint64{common})
+	answer, changed := tracker.Answered(now, []uint64{common})
 	assert.Assert(t, changed)
-	assert.DeepEqual(t, begin.Parts, []uint64{common})
+	assert.DeepEqual(t, answer.Parts, []uint64{common})
 	assert.Equal(t, tracker.Check(now, []uint64{crashing}).State, Blocked)
 	assert.Equal(t, tracker.Check(now, []uint64{common}).State, Allowed)
 }
@@ -143,7 +143,7 @@
 	vetoes := other.Merge(at(4*time.Second), accused[0])
 	assert.Equal(t, len(vetoes), 1)
 	assert.DeepEqual(t, vetoes[0].Parts, []uint64{common})
-	assert.DeepEqual(t, accuser.MergeBegin(vetoes[0]), []uint64{common})
+	assert.DeepEqual(t, accuser.MergeAnswer(vetoes[0]), []uint64{common})
 	blocked := accuser.Tick(at(4*time.Second + DefaultVetoWindow))
 	assert.Equal(t, len(blocked), 1)
 	assert.DeepEqual(t, blocked[0].Parts, []uint64{crashing})
@@ -188,9 +188,9 @@
 	assert.Assert(t, tracker.StartTrial(due, set))
 	assert.Assert(t, !tracker.StartTrial(due, set), "one trial at a time")
 	assert.Assert(t, !tracker.Check(due, set).TrialDue)
-	begin, changed := tracker.Answered(due.Add(time.Second), []uint64{common, crashing})
+	answer, changed := tracker.Answered(due.Add(time.Second), []uint64{common, crashing})
 	assert.Assert(t, changed)
-	assert.DeepEqual(t, begin.Parts, set)
+	assert.DeepEqual(t, answer.Parts, set)
 	assert.Equal(t, tracker.Check(due.Add(time.Second), set).State, Allowed)
 }
 
--- a/blocklist/types.go
+++ b/blocklist/types.go
@@ -136,9 +136,9 @@
 	Targets []string
 }
 
-// Begin tells that targets answered requests with these parts, at a time at which the parts
+// Answer tells that targets answered requests with these parts, at a time at which the parts
 // were known not to crash targets.
-type Begin struct {
+type Answer struct {
 	Parts []uint64
 	At    time.Time
 }
--- a/internal/blocklistsync/messages.go
+++ b/internal/blocklistsync/messages.go
@@ -58,15 +58,15 @@
 	return b
 }
 
-func encodeAnswered(now time.Time, b blocklist.Begin) *peerpb.Envelope {
+func encodeAnswered(now time.Time, b blocklist.Answer) *peerpb.Envelope {
 	return &peerpb.Envelope{Body: &peerpb.Envelope_PartAnswered{PartAnswered: &peerpb.PartAnswered{
 		Parts: b.Parts,
 		AgoMs: millisecondsAgo(now, b.At),
 	}}}
 }
 
-func decodeAnswered(now time.Time, m *peerpb.PartAnswered) blocklist.Begin {
-	return blocklist.Begin{Parts: m.Parts, At: timeAgo(now, m.AgoMs)}
+func decodeAnswered(now time.Time, m *peerpb.PartAnswered) blocklist.Answer {
+	return blocklist.Answer{Parts: m.Parts, At: timeAgo(now, m.AgoMs)}
 }
 
 func millisecondsAgo(now, at time.Time) uint32 {
--- a/internal/blocklistsync/syncer.go
+++ b/internal/blocklistsync/syncer.go
@@ -113,9 +113,9 @@
 
 // Answered implements entry.Blocklist.
 func (s *Syncer) Answered(parts []uint64) {
-	begin, changed := s.tracker.Answered(time.Now(), parts)
+	answer, changed := s.tracker.Answered(time.Now(), parts)
 	if changed {
-		s.publishAnswered(begin)
+		s.publishAnswered(answer)
 	}
 }
 
@@ -215,33 +215,33 @@
 }
 
 // vetoDelay returns the time for which a veto waits for those of other daemons.
-func (s *Syncer) vetoDelay(from string, vetoes []blocklist.Begin) time.Duration {
+func (s *Syncer) vetoDelay(from string, vetoes []blocklist.Answer) time.Duration {
 	return time.Duration(xxhash.Sum64String(s.Self+from+blocklist.Key(vetoes[0].Parts)) % uint64(maxVetoDelay))
 }
 
 // veto tells the other daemons which parts of an accused or blocked set were answered here,
 // unless another daemon told them meanwhile.
-func (s *Syncer) veto(vetoes []blocklist.Begin) {
+func (s *Syncer) veto(vetoes []blocklist.Answer) {
 	s.mu.Lock()
-	vetoes = slices.DeleteFunc(vetoes, func(b blocklist.Begin) bool {
+	vetoes = slices.DeleteFunc(vetoes, func(b blocklist.Answer) bool {
 		_, told := s.toldAnswered[b.Parts[0]]
 		return told
 	})
 	s.mu.Unlock()
-	for _, begin := range vetoes {
-		s.publishAnswered(begin)
+	for _, answer := range vetoes {
+		s.publishAnswered(answer)
 	}
 }
 
-func (s *Syncer) mergeAnswered(now time.Time, begin blocklist.Begin) {
+func (s *Syncer) mergeAnswered(now time.Time, answer blocklist.Answer) {
 	s.mu.Lock()
-	for _, part := range begin.Parts {
+	for _, part := range answer.Parts {
 		if len(s.toldAnswered) < blocklist.DefaultMaxParts {
 			s.toldAnswered[part] = now
 		}
 	}
 	s.mu.Unlock()
-	s.tracker.MergeBegin(begin)
+	s.tracker.MergeAnswer(answer)
 }
 
 // SessionUp tells a peer the blocked sets.
@@ -270,10 +270,10 @@
 }
 
 // publishAnswered tells the other daemons that parts were answered.
-func (s *Syncer) publishAnswered(begin blocklist.Begin) {
-	s.Broadcast(encodeAnswered(time.Now(), begin))
+func (s *Syncer) publishAnswered(answer blocklist.Answer) {
+	s.Broadcast(encodeAnswered(time.Now(), answer))
 	s.markUnsaved()
-	s.Logger.Emit(eventlog.PartsAnswered, eventlog.Fields{"parts": formatParts(begin.Parts)})
+	s.Logger.Emit(eventlog.PartsAnswered, eventlog.Fields{"parts": formatParts(answer.Parts)})
 }
 
 // markUnsaved makes RunTable write the blocked sets.
