--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -10,7 +10,7 @@
 // soak at full share the move is done.
 //
 // The new version is compared with the old one that serves at the same time, for
-// errors and for slow answers, on each route, on each target and at each load
+// errors, slow answers and slow streams, on each route, on each target and at each load
 // level. When the comparison shows that the new version is worse, its share is cut
 // to zero. Every data centre makes this comparison on its own evidence and cuts
 // without waiting for the holder or the store; the holder makes it on the evidence
