--- a/internal/grants/reserve.go
+++ b/internal/grants/reserve.go
@@ -76,6 +76,7 @@
 	return c.Avoidance.Names(time.Now(), service, maxAvoided, c.Topologies.Target)
 }
 
+// reserve is Reserve for a request that excludes the avoided targets.
 func (c *Client) reserve(ctx context.Context, request entry.GrantRequest) (*entry.Grant, error) {
 	if request.AskAllGroups {
 		if grant := c.reserveImmediate(ctx, &request); grant != nil {
--- a/rollout/collector.go
+++ b/rollout/collector.go
@@ -162,8 +162,9 @@
 	}
 }
 
-// limit returns the limit that the old version's values set on the route of an observation, or on all routes of the service while the route has too few. Any limit may
-// serve, since both versions are classified by the same one. The caller holds the mutex.
+// limit returns the limit that the old version's values set on the route of an observation,
+// or on all routes of the service while the route has too few. Any limit may serve, since
+// both versions are classified by the same one. The caller holds the mutex.
 func (c *Collector) limit(m *ActiveMove, o *Observation, values func(*usualValues) *histogram) (limit float64, known bool) {
 	limit, known = values(c.usualOf(routeKey{o.Service, o.Route, m.From})).limit()
 	if !known {
