rollout: classify answers by few usual values

Cause: a daemon had to see 50 answers of the old version before it could classify any. Each of 195 daemons sees one or two in a second, so that most answers counted for nothing.

Change: eight values are enough. A limit from few values is imprecise, but both versions are classified by it, so that it is right for the comparison. The limit is not cached while it changes with each value.

TestSlowVersionIsFoundByManyDaemons failed before (the version passed). TestCollector uses the constant now and checks the same limits.

--- a/rollout/collector_test.go
+++ b/rollout/collector_test.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -18,8 +20,7 @@
 	c.Observe(o)
 	assert.Equal(t, len(c.Drain()), 0)
 	applyTestRow(t, s, 1, testRow(Shifting, 100))
-	for i := range 48 {
-		o.Latency = time.Duration(i+1) * 10 * time.Millisecond
+	for range minSamples - 2 {
 		c.Observe(o)
 	}
 	o.Version = "v2"
@@ -31,7 +32,10 @@
 		assert.Equal(t, counts.Timed+counts.Slow, uint32(0))
 	}
 	o.Version = "v1"
-	c.Observe(o)
+	for i := range 50 {
+		o.Latency = time.Duration(i+1) * 10 * time.Millisecond
+		c.Observe(o)
+	}
 	c.Drain()
 	o.Version = "v2"
 	for _, latency := range []time.Duration{100, 400, 600} {
@@ -86,3 +90,42 @@
 	assert.Equal(t, len(e), 1)
 	assert.DeepEqual(t, e[0].Strata, []StratumCounts{{Version: "v2", Route: "3", Target: "n", Requests: 1, Timed: 1, Slow: 1, Paced: 1, SlowPaced: 1}})
 }
+
+// Guards against a slow version that is kept in a large system, where each of many daemons
+// sees only a few answers before and during the move.
+func TestSlowVersionIsFoundByManyDaemons(t *testing.T) {
+	const daemons = 200
+	r := rand.New(rand.NewPCG(1, 9))
+	active := []ActiveMove{{Move: "m", Attempt: 1, From: "v1", To: "v2"}}
+	tally := NewTally("v1", "v2")
+	var collectors []*Collector
+	for i := range daemons {
+		collectors = append(collectors, NewCollector(NewTrafficSplit(), fmt.Sprint("d", i)))
+	}
+	observe := func(active []ActiveMove, newShare float64) {
+		o := Observation{Service: "s", Version: "v1", Route: fmt.Sprint("r", r.IntN(3)), Target: "t", Latency: 30 * time.Millisecond, Pace: time.Duration(15+r.IntN(10)) * time.Millisecond}
+		if r.Float64() < newShare {
+			o.Version, o.Target, o.Pace = "v2", "n", 3*o.Pace
+		}
+		collectors[r.IntN(daemons)].observe(active, &o)
+	}
+	// Two answers a second and daemon, for five seconds before the move and for three after.
+	for range 5 * 2 * daemons {
+		observe(nil, 0)
+	}
+	for second := range 3 {
+		now := startTime.Add(time.Duration(second) * time.Second)
+		for range 2 * daemons {
+			observe(active, 0.05)
+		}
+		for _, c := range collectors {
+			for _, e := range c.Drain() {
+				tally.Merge(now, e)
+			}
+		}
+		if NewSequentialTest().SplitAmong(2).Evaluate(tally, now, 2000).Bad {
+			return
+		}
+	}
+	t.Fatal("the version passed")
+}
--- a/rollout/histogram.go
+++ b/rollout/histogram.go
@@ -10,8 +10,12 @@
 	octaves      = 20
 	bucketCount  = 2 * octaves * bucketsPerOctave
 	middleBucket = octaves * bucketsPerOctave
-	// minSamples is the number of values from which limit returns a result.
-	minSamples = 50
+	// minSamples is the number of values from which limit returns a result. A limit from few
+	// values is imprecise, but both versions are classified by it; one of many daemons gets
+	// only a few requests before it has to classify the next.
+	minSamples = 8
+	// cachedFromSamples is the number of values from which a limit is cached.
+	cachedFromSamples = 200
 	// halveAtSamples is the number of values at which all counts are halved.
 	halveAtSamples = 4000
 	// latencyQuantile and paceQuantile are the quantiles of the old version's latencies and
@@ -36,7 +40,7 @@
 	i := middleBucket + int(math.Floor(math.Log2(max(value, 1e-6))*bucketsPerOctave))
 	h.counts[min(max(i, 0), bucketCount-1)]++
 	h.total++
-	h.cacheValid = h.cacheValid && h.total%16 != 0
+	h.cacheValid = h.cacheValid && h.total%16 != 0 && h.total >= cachedFromSamples
 	if h.total >= halveAtSamples {
 		h.halve()
 	}
@@ -51,7 +55,8 @@
 }
 
 // limit returns the value that the histogram's quantile of the values does not exceed; ok is
-// false with fewer than minSamples values. The result is cached for 16 values.
+// false with fewer than minSamples values. From cachedFromSamples on, the result is cached
+// for 16 values.
 func (h *histogram) limit() (limit float64, ok bool) {
 	if h.total < minSamples {
 		return 0, false
