peer: tell the generation that changed while a session was set up

Cause, traced: the writer of a session took the generation at its own start for the one in the Hello. If the generation changed in between, the Hello carried the old one and the writer believed that the new one was sent; a session that is busy sends no idle pings, so that the peer learned of it only from others.

Change: the session keeps the generation of the Hello that was sent. TestGenerationChangedDuringTheHandshakeIsSent failed before each time it was run; three runs of both tests pass.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -120,11 +120,12 @@
 		m.logNotEstablished(err, a.transport.RemoteAddr().String())
 		return err
 	}
-	s := m.newSession(hello, a.transport, stream, false)
+	own := m.newHello()
+	s := m.newSession(hello, own.GetHello(), a.transport, stream, false)
 	if err := m.admit(s); err != nil {
 		return err
 	}
-	if err := stream.Send(m.newHello()); err != nil {
+	if err := stream.Send(own); err != nil {
 		s.close(err)
 	}
 	a.helloTimer.Stop()
@@ -274,7 +275,8 @@
 	if err != nil {
 		return nil, fault.Wrap(err, "peer.hello", address.Name)
 	}
-	if err := stream.Send(m.newHello()); err != nil {
+	own := m.newHello()
+	if err := stream.Send(own); err != nil {
 		return nil, fault.Wrap(err, "peer.hello", address.Name)
 	}
 	first, err := stream.Recv()
@@ -285,7 +287,7 @@
 	if err := m.checkHello(hello, address.Name, tlsState); err != nil {
 		return nil, err
 	}
-	s := m.newSession(hello, tr, stream, true)
+	s := m.newSession(hello, own.GetHello(), tr, stream, true)
 	return s, m.admit(s)
 }
 
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -460,3 +460,27 @@
 		return received == 7
 	})
 }
+
+// Guards against a generation that changes after the Hello was sent and before the session's
+// writer starts: a busy session never told it.
+func TestGenerationChangedDuringTheHandshakeIsSent(t *testing.T) {
+	var calls, received atomic.Uint64
+	a := newNode(t, "a", func(c *Config, _ *node) {
+		c.Generation = func() uint64 {
+			if calls.Add(1) == 1 {
+				return 1
+			}
+			return 7
+		}
+	})
+	b := newNode(t, "b", func(c *Config, _ *node) {
+		c.OnMessage = func(_ string, m *peerpb.Envelope) {
+			received.Store(max(received.Load(), m.GetPing().GetGeneration(), m.GetPong().GetGeneration()))
+		}
+	})
+	connect(t, a, b)
+	waitFor(t, 4*time.Second, "the generation is received", func() bool {
+		_, _ = a.Send("b", preemptMessage("traffic")), b.Send("a", preemptMessage("traffic"))
+		return received.Load() == 7
+	})
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -46,8 +46,11 @@
 // session is one drpc stream with a peer. One goroutine reads it (runSession) and
 // one writes it (writeLoop).
 type session struct {
-	mesh      *Mesh
-	hello     *peerpb.Hello
+	mesh  *Mesh
+	hello *peerpb.Hello
+	// ownGeneration is the configuration generation in the Hello of this daemon.
+	ownGeneration uint64
+
 	transport *transport
 	stream    drpc.Stream
 	raw       rawStream
@@ -68,13 +71,14 @@
 	predecessorEnded <-chan struct{}
 }
 
-// newSession returns a session on an open stream. It becomes the session of its
-// peer in admit.
-func (m *Mesh) newSession(hello *peerpb.Hello, tr *transport, stream drpc.Stream, dialled bool) *session {
+// newSession returns a session on an open stream, with the Hello of the peer and that of
+// this daemon. It becomes the session of its peer in admit.
+func (m *Mesh) newSession(hello, own *peerpb.Hello, tr *transport, stream drpc.Stream, dialled bool) *session {
 	inner := stream.(interface{ GetStream() drpc.Stream }).GetStream()
 	return &session{
 		mesh:           m,
 		hello:          hello,
+		ownGeneration:  own.Generation,
 		transport:      tr,
 		stream:         inner,
 		raw:            inner.(rawStream),
--- a/peer/write.go
+++ b/peer/write.go
@@ -30,7 +30,7 @@
 // and waits for a blocked writer, so that two daemons with full buffers would
 // deadlock.
 func (s *session) writeLoop() error {
-	w := &sessionWriter{session: s, lastSent: s.since, generationSentAt: s.since, sentGeneration: s.mesh.config.Generation()}
+	w := &sessionWriter{session: s, lastSent: s.since, generationSentAt: s.since, sentGeneration: s.ownGeneration}
 	timer := time.NewTimer(w.timeUntilPingCheck())
 	defer timer.Stop()
 	for {
