--- a/rollout/collector_test.go
+++ b/rollout/collector_test.go
@@ -81,7 +81,7 @@
 	s := NewTrafficSplitWithClock(func() time.Time { return startTime })
 	s.SetConfig(testSet())
 	c := NewCollector(s, "d/1")
-	for i := range 100 {
+	for i := range 10 * (minSamples - 1) {
 		c.Observe(Observation{Service: "s", Version: "v1", Route: strconv.Itoa(i % 10), Target: "t", Latency: 30 * time.Millisecond, Pace: 20 * time.Millisecond})
 	}
 	applyTestRow(t, s, 1, testRow(Shifting, 100))
