review: case 1, a resumed stream ends as complete when its server crashes

A server that runs a resumed stream and crashes after the head of its answer, before its first event, ends the stream: the client gets a complete 200 without the events that are missing.

--- /dev/null
+++ b/review/stand/bench.go
@@ -0,0 +1,253 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// daemonProgram is the program of the deploy file's role, relative to the repository.
+	daemonProgram = "target/marjoramd"
+	// readyTimeout bounds the start of the daemons.
+	readyTimeout = 15 * time.Second
+	// settleTime is the time from the readiness of the daemons to the start of traffic. All
+	// machines are in touch then: contactMs is 4,000.
+	settleTime = 5 * time.Second
+	// stopTimeout is how long a daemon may take to end after SIGTERM: graceS is 8.
+	stopTimeout = 9 * time.Second
+)
+
+// bench holds the processes and stand-ins of one case.
+type bench struct {
+	rec     *recorder
+	trouble bool
+	dir     string
+	store   *store
+	address string // of the store
+	daemons []*daemon
+	fleet   *fleet
+	clients *clients
+
+	mu       sync.Mutex
+	children []*exec.Cmd
+}
+
+// daemon is one process of the product.
+type daemon struct {
+	name, zone           string
+	callers, ready, rest string
+	settings             string
+	process              *exec.Cmd
+	exited               chan struct{}
+}
+
+// newBench starts the store.
+func newBench(recordPath string, trouble bool) (*bench, error) {
+	if _, err := os.Stat(daemonProgram); err != nil {
+		return nil, fmt.Errorf("build the deploy file first: %w", err)
+	}
+	rec, err := newRecorder(recordPath)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{rec: rec, trouble: trouble, dir: dir, store: newStore()}
+	b.fleet = newFleet(b)
+	b.clients = newClients(b)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	b.address = listener.Addr().String()
+	go func() { _ = http.Serve(listener, b.store.handler()) }()
+	rec.line("trouble=%v", trouble)
+	return b, nil
+}
+
+// close ends the processes and removes the temporary folder.
+func (b *bench) close() {
+	b.mu.Lock()
+	children := b.children
+	b.mu.Unlock()
+	for _, c := range children {
+		_ = c.Process.Kill()
+	}
+	for _, d := range b.daemons {
+		<-d.exited
+	}
+	b.rec.close()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(b.dir)
+	} else {
+		fmt.Println("kept", b.dir)
+	}
+}
+
+// spawn starts a child process that ends with this one.
+func (b *bench) spawn(c *exec.Cmd) error {
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.children = append(b.children, c)
+	return nil
+}
+
+// Ports of daemons and model servers are taken from this range. It lies below the usual range
+// of outgoing connections, which could take the port of a process that is restarted.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+)
+
+// freeAddress returns a loopback address with a port that was free just now.
+func freeAddress() (string, error) {
+	var lastErr error
+	for range 50 {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		if err == nil {
+			defer listener.Close()
+			return listener.Addr().String(), nil
+		}
+		lastErr = err
+	}
+	return "", lastErr
+}
+
+// zones are the zones of the small deployment, with their regions.
+var zones = map[string]string{"pe-recife": "pe", "pe-caruaru": "pe", "ce-fortaleza": "ce"}
+
+// zoneNames lists zones in a fixed order.
+var zoneNames = []string{"pe-recife", "ce-fortaleza", "pe-caruaru"}
+
+// settingsFormat is deploy/settings.yaml with the bounds of a small deployment filled in.
+const settingsFormat = `name: "%s"
+dataCentre: "%s"
+region: "%s"
+listen:
+  callers: "%s"
+  peers: "%s"
+gateway:
+  store: "%s"
+  ready: "%s"
+  metrics: "%s"
+  dataCentres: {"pe-recife":"pe","ce-fortaleza":"ce","pe-caruaru":"pe"}
+  grace: "8s"
+  retryRatio: 0.2
+  retryWindow: "10s"
+  retrySlack: 52
+  memoryMb: 284
+  limitWindow: "8s"
+  limitOverage: 0.1
+  limitSlack: 140000
+  applyWithin: "2500ms"
+`
+
+// startDaemons starts two daemons in each zone and waits until all are ready.
+func (b *bench) startDaemons() error {
+	for _, zone := range zoneNames {
+		for i := 1; i <= 2; i++ {
+			if err := b.startDaemon(fmt.Sprintf("front-%s-%d", zone, i), zone); err != nil {
+				return err
+			}
+		}
+	}
+	if err := b.awaitReady(); err != nil {
+		return err
+	}
+	b.rec.line("all daemons are ready")
+	time.Sleep(settleTime)
+	return nil
+}
+
+func (b *bench) startDaemon(name, zone string) error {
+	var addresses [4]string
+	for i := range addresses {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		addresses[i] = address
+	}
+	d := &daemon{name: name, zone: zone, callers: addresses[0], ready: addresses[2], settings: filepath.Join(b.dir, name+".yaml")}
+	text := fmt.Sprintf(settingsFormat, name, zone, zones[zone], addresses[0], addresses[1], b.address, addresses[2], addresses[3])
+	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	b.daemons = append(b.daemons, d)
+	return b.launch(d)
+}
+
+// launch starts the process of a daemon, at first and after it was killed.
+func (b *bench) launch(d *daemon) error {
+	log, err := os.OpenFile(filepath.Join(b.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	c := exec.Command(daemonProgram, "--settings", d.settings)
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MARJORAMFLOW_NODE_FILE=" + d.settings}
+	c.Stdout, c.Stderr = log, log
+	d.exited = make(chan struct{})
+	if err := b.spawn(c); err != nil {
+		close(d.exited)
+		return err
+	}
+	d.process = c
+	exited := d.exited
+	go func() {
+		err := c.Wait()
+		b.rec.line("%s ended: %v", d.name, err)
+		close(exited)
+	}()
+	return nil
+}
+
+// isReady asks a daemon whether it is ready.
+func (d *daemon) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + d.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (b *bench) awaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, d := range b.daemons {
+		for !d.isReady() {
+			if time.Now().After(deadline) {
+				return errors.New(d.name + " did not become ready")
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// inZone returns the daemons of a zone.
+func (b *bench) inZone(zone string) []*daemon {
+	var out []*daemon
+	for _, d := range b.daemons {
+		if d.zone == zone {
+			out = append(out, d)
+		}
+	}
+	return out
+}
