review: case 2, a tenant without a priority makes daemons refuse the whole manifest

A key that the manifest takes away goes on working, and the new tenant's requests get 401.

The case on an order with a long name becomes case 3.

--- a/review/stand/bench.go
+++ b/review/stand/bench.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -114,18 +115,25 @@
 	lastPort  = 30000
 )
 
+// nextPort is the port that freeAddress tries next. It only rises, so that no port is handed out
+// twice, and starts at random, so that cases that run at once rarely meet.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(int32(firstPort + rand.IntN(lastPort-firstPort-1000))) }
+
 // freeAddress returns a loopback address with a port that was free just now.
 func freeAddress() (string, error) {
-	var lastErr error
-	for range 50 {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+	for {
+		port := nextPort.Add(1)
+		if port > lastPort {
+			return "", errors.New("no free port")
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			defer listener.Close()
 			return listener.Addr().String(), nil
 		}
-		lastErr = err
 	}
-	return "", lastErr
 }
 
 // zones are the zones of the small deployment, with their regions.
@@ -232,10 +240,14 @@
 	deadline := time.Now().Add(readyTimeout)
 	for _, d := range b.daemons {
 		for !d.isReady() {
+			select {
+			case <-d.exited:
+				return errors.New(d.name + " ended at its start")
+			case <-time.After(50 * time.Millisecond):
+			}
 			if time.Now().After(deadline) {
 				return errors.New(d.name + " did not become ready")
 			}
-			time.Sleep(50 * time.Millisecond)
 		}
 	}
 	return nil
--- a/review/stand/clients.go
+++ b/review/stand/clients.go
@@ -151,3 +151,17 @@
 	}
 	return out
 }
+
+// count returns the number of client attempts with a key that were sent after a time and
+// ended with a status.
+func (c *clients) count(key string, status int, after time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, s := range c.sent {
+		if s.key == key && s.status == status && s.at.After(after) {
+			n++
+		}
+	}
+	return n
+}
--- a/review/stand/operator.go
+++ b/review/stand/operator.go
@@ -65,15 +65,19 @@
 }
 
 type tenant struct {
-	Name        string   `json:"name"`
-	APIKeys     []string `json:"apiKeys"`
-	Priority    int      `json:"priority"`
-	Unit        string   `json:"unit"`
-	PlainTokens int      `json:"plainTokens"`
-	RatePerS    float64  `json:"ratePerS"`
-	Burst       float64  `json:"burst"`
+	Name    string   `json:"name"`
+	APIKeys []string `json:"apiKeys"`
+	// Priority may be left out.
+	Priority    *int    `json:"priority,omitempty"`
+	Unit        string  `json:"unit"`
+	PlainTokens int     `json:"plainTokens"`
+	RatePerS    float64 `json:"ratePerS"`
+	Burst       float64 `json:"burst"`
 }
 
+// rank returns a priority of a tenant.
+func rank(priority int) *int { return &priority }
+
 type manifest struct {
 	Version  int            `json:"version"`
 	Routes   []route        `json:"routes"`
@@ -94,8 +98,8 @@
 		Services: []service{{Name: serviceName, HealthPath: "/health", MaxConnections: 96, Protocol: "h1"}},
 		Limits:   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		Tenants: []tenant{
-			{Name: "wuny96", APIKeys: []string{"key-wuny96-a", "key-wuny96-b"}, Priority: 1, Unit: "tokens", PlainTokens: 200, RatePerS: 250000, Burst: 250000},
-			{Name: "hule930", APIKeys: []string{"key-hule930-a"}, Priority: 2, Unit: "tokens", PlainTokens: 200, RatePerS: 250000, Burst: 250000},
+			{Name: "wuny96", APIKeys: []string{"key-wuny96-a", "key-wuny96-b"}, Priority: rank(1), Unit: "tokens", PlainTokens: 200, RatePerS: 250000, Burst: 250000},
+			{Name: "hule930", APIKeys: []string{"key-hule930-a"}, Priority: rank(2), Unit: "tokens", PlainTokens: 200, RatePerS: 250000, Burst: 250000},
 		},
 	}
 }
--- a/review/stand/config_freeze.go
+++ b/review/stand/order_name.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { scenarios["case2-config"] = configFreeze }
+func init() { scenarios["case3-order-name"] = orderName }
 
 const (
 	depotService = "depot-records-application"
@@ -14,8 +14,8 @@
 	newCommit    = "9e3b7d10c42f5a6881d0b7e3f4a59c6d2b1e0f78"
 )
 
-// configFreeze orders a move to a version and then takes an API key away from a tenant.
-func configFreeze(b *bench) (string, error) {
+// orderName orders a move to a version and then takes an API key away from a tenant.
+func orderName(b *bench) (string, error) {
 	m := plainManifest(depotService)
 	b.publish(m)
 	old, err := b.fleet.startInZones("old", depotService, oldCommit, 0)
