--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/stand ] && [ -x target/marjoramd ] || exit 2
-exec review/bin/stand case1-stream-end review/1/record.txt
+exec review/bin/stand stream-end review/1/record.txt
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/stand ] && [ -x target/marjoramd ] || exit 2
-exec review/bin/stand case3-order-name review/3/record.txt
+exec review/bin/stand manifest review/3/record.txt
--- a/review/stand/bench.go
+++ b/review/stand/bench.go
@@ -44,11 +44,11 @@
 
 // daemon is one process of the product.
 type daemon struct {
-	name, zone           string
-	callers, ready, rest string
-	settings             string
-	process              *exec.Cmd
-	exited               chan struct{}
+	name, zone                     string
+	callers, peers, ready, metrics string
+	settings                       string
+	process                        *exec.Cmd
+	exited                         chan struct{}
 }
 
 // newBench starts the store.
@@ -142,6 +142,9 @@
 // zoneNames lists zones in a fixed order.
 var zoneNames = []string{"pe-recife", "ce-fortaleza", "pe-caruaru"}
 
+// wholeSlack is a budgetSlack of a small deployment.
+const wholeSlack = "52"
+
 // settingsFormat is deploy/settings.yaml with the bounds of a small deployment filled in.
 const settingsFormat = `name: "%s"
 dataCentre: "%s"
@@ -157,7 +160,7 @@
   grace: "8s"
   retryRatio: 0.2
   retryWindow: "10s"
-  retrySlack: 52
+  retrySlack: %s
   memoryMb: 284
   limitWindow: "8s"
   limitOverage: 0.1
@@ -191,15 +194,20 @@
 		}
 		addresses[i] = address
 	}
-	d := &daemon{name: name, zone: zone, callers: addresses[0], ready: addresses[2], settings: filepath.Join(b.dir, name+".yaml")}
-	text := fmt.Sprintf(settingsFormat, name, zone, zones[zone], addresses[0], addresses[1], b.address, addresses[2], addresses[3])
-	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
+	d := &daemon{name: name, zone: zone, callers: addresses[0], peers: addresses[1], ready: addresses[2], metrics: addresses[3], settings: filepath.Join(b.dir, name+".yaml")}
+	if err := b.writeSettings(d, wholeSlack); err != nil {
 		return err
 	}
 	b.daemons = append(b.daemons, d)
 	return b.launch(d)
 }
 
+// writeSettings writes the settings file of a daemon with a budgetSlack.
+func (b *bench) writeSettings(d *daemon, slack string) error {
+	text := fmt.Sprintf(settingsFormat, d.name, d.zone, zones[d.zone], d.callers, d.peers, b.address, d.ready, d.metrics, slack)
+	return os.WriteFile(d.settings, []byte(text), 0o600)
+}
+
 // launch starts the process of a daemon, at first and after it was killed.
 func (b *bench) launch(d *daemon) error {
 	log, err := os.OpenFile(filepath.Join(b.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/review/stand/manifest_refused.go
+++ b/review/stand/manifest_refused.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { scenarios["case2-manifest"] = manifestRefused }
+func init() { scenarios["manifest"] = manifestRefused }
 
 // manifestRefused publishes a manifest that adds a tenant and takes an API key away from
 // another one. With trouble, the new tenant states no priority.
--- a/review/stand/order_again.go
+++ b/review/stand/order_again.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { scenarios["case4-order-again"] = orderAgain }
+func init() { scenarios["order-again"] = orderAgain }
 
 // orderAgain moves a service to v2, back to v1, and to v2 again, whose new servers are bad.
 func orderAgain(b *bench) (string, error) {
--- a/review/stand/order_name.go
+++ b/review/stand/order_name.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { scenarios["case3-order-name"] = orderName }
+func init() { scenarios["order-name"] = orderName }
 
 const (
 	depotService = "depot-records-application"
--- a/review/stand/stream_end.go
+++ b/review/stand/stream_end.go
@@ -15,7 +15,7 @@
 	"time"
 )
 
-func init() { scenarios["case1-stream-end"] = streamEnd }
+func init() { scenarios["stream-end"] = streamEnd }
 
 const (
 	streamService = "ustad"
