upstream: an answer of a killed target is not complete

Cause: an answer with neither a length nor chunks ends with its connection, and every orderly end was taken for that of the answer. The kernel closes the connections of a killed process in the same way.

Change: at such an end the daemon opens a connection to the target. If it is refused or the target can't be reached, the answer is cut and treated as before: continued elsewhere, repeated, or broken off. The clients of plain services check in the same way.

--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -17,13 +17,18 @@
 	maxIdlePerTarget = 64
 )
 
+// NewDialer returns a dialer for connections to targets.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout}
+}
+
 // NewClient returns an HTTP client for calls to targets. With freshConnections, every
 // request uses a new connection. Redirects are not followed: no slot was granted at the
 // address that they name, and the request would run a second time there.
 func NewClient(freshConnections bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         NewDialer().DialContext,
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: maxIdlePerTarget,
 			DisableCompression:  true,
--- a/plainservice/client.go
+++ b/plainservice/client.go
@@ -18,6 +18,7 @@
 	"github.com/marjoramflow/marjoramflow/attempt"
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/internal/outbound"
+	"github.com/marjoramflow/marjoramflow/liveness"
 )
 
 // MaxAnswerBytes bounds the body of an answer, which is held in memory.
@@ -80,9 +81,25 @@
 	if len(body) > MaxAnswerBytes {
 		return nil, call.newError(attempt.Cut, resp.StatusCode, fmt.Errorf("answer exceeds %d bytes", MaxAnswerBytes))
 	}
+	if err := confirmEnd(ctx, call, resp); err != nil {
+		return nil, call.newError(attempt.Cut, resp.StatusCode, err)
+	}
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// confirmEnd returns an error if the answer ended with its connection and the target does not
+// run any more, so that the answer may be incomplete.
+func confirmEnd(ctx context.Context, call *Call, resp *http.Response) error {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead {
+		return nil
+	}
+	conn, err := liveness.Check(ctx, outbound.NewDialer(), call.Address)
+	if conn != nil {
+		conn.Close()
+	}
+	return err
+}
+
 // clientFor returns the client that reuses connections if the call may run twice, and
 // otherwise the one that opens a connection for each request.
 func (c *Client) clientFor(call *Call) *http.Client {
--- a/plainservice/client_test.go
+++ b/plainservice/client_test.go
@@ -159,3 +159,32 @@
 		server.Close()
 	}
 }
+
+// Guards against an answer without a length that is taken for complete although its target's
+// process ended with it.
+func TestAnswerOfAnEndedTargetIsCut(t *testing.T) {
+	for _, ends := range []bool{true, false} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			if ends {
+				listener.Close()
+			}
+			conn.Close()
+		}()
+		answer, err := NewClient().Do(t.Context(), keyedCall(listener.Addr().String()))
+		if ends {
+			assert.Equal(t, attempt.KindOf(err), attempt.Cut)
+		} else {
+			assert.NilError(t, err)
+			assert.Equal(t, string(answer.Body), "half")
+		}
+		listener.Close()
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -11,8 +11,14 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/marjoramflow/marjoramflow/liveness"
 )
 
+// ErrUnconfirmedEnd is wrapped by the error of an answer that ended with its connection when
+// its target does not run any more, so that the answer may be incomplete.
+var ErrUnconfirmedEnd = errors.New("the target ended together with its answer")
+
 // ErrNotSent is wrapped by errors that occurred before any byte of the request was written.
 var ErrNotSent = errors.New("no byte of the request was sent")
 
@@ -50,19 +56,23 @@
 	// Length is the length of the body in bytes, or -1 when the answer does not state it.
 	Length int64
 	// Delimited is true if the answer states its length or comes in chunks. Otherwise it ends
-	// with its connection, as does one whose target stopped in the middle.
+	// with its connection.
 	Delimited bool
 
 	// NewConnection is true if the connection was opened for this request.
 	NewConnection bool
 
-	pool           *Pool
-	call           *Call
-	conn           *conn
+	pool *Pool
+	call *Call
+	conn *conn
+	// ctx is that of Send, which bounds the whole exchange.
+	ctx            context.Context
 	response       *http.Response
 	writeResult    chan error
 	stopCancelHook func() bool
 	bodyComplete   bool
+	// readDeadline is the deadline of reads, also for the check of the body's end.
+	readDeadline time.Time
 }
 
 // Send writes a request and reads the status line and headers of its answer. An error
@@ -74,7 +84,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	e := &Exchange{NewConnection: c.idleUntil.IsZero(), pool: p, call: call, conn: c, writeResult: make(chan error, 1)}
+	e := &Exchange{NewConnection: c.idleUntil.IsZero(), pool: p, call: call, conn: c, ctx: ctx, writeResult: make(chan error, 1)}
 	e.stopCancelHook = context.AfterFunc(ctx, func() { c.Close() })
 	e.writeRequest()
 	if err := e.readAnswer(); err != nil {
@@ -174,7 +184,7 @@
 			e.Status = response.StatusCode
 			e.Header = response.Header
 			e.Length = response.ContentLength
-			e.Delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+			e.Delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 			return nil
 		}
 	}
@@ -182,19 +192,48 @@
 
 // SetReadDeadline sets the deadline of all later reads; the zero time means no deadline.
 func (e *Exchange) SetReadDeadline(at time.Time) {
+	e.readDeadline = at
 	// The only possible error is a closed connection, which the next read reports.
 	_ = e.conn.SetReadDeadline(at)
 }
 
 // Read reads the body of the answer. It returns io.EOF only at the end of a complete
 // body: after the stated length, after the last chunk or, if the answer has neither,
-// after an orderly close of the connection.
+// after an orderly close of the connection by a target that still runs. If the target does
+// not run, the error wraps ErrUnconfirmedEnd.
 func (e *Exchange) Read(p []byte) (int, error) {
 	n, err := e.response.Body.Read(p)
-	if err == io.EOF {
-		e.bodyComplete = true
+	if err != io.EOF || e.bodyComplete {
+		return n, err
+	}
+	if !e.Delimited {
+		if err := e.confirmEnd(); err != nil {
+			return n, err
+		}
+	}
+	e.bodyComplete = true
+	return n, io.EOF
+}
+
+// confirmEnd returns an error unless the target runs after its answer has ended with the
+// connection. The connection that the check opens replaces the one that ended.
+func (e *Exchange) confirmEnd() error {
+	ctx := e.ctx
+	if !e.readDeadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, e.readDeadline)
+		defer cancel()
+	}
+	c, err := liveness.Check(ctx, &e.pool.dialer, e.call.Address)
+	if err != nil {
+		e.pool.updateStats(func(s *Stats) { s.UnconfirmedEnds++ })
+		return fmt.Errorf("%w: %w", ErrUnconfirmedEnd, err)
+	}
+	e.pool.updateStats(func(s *Stats) { s.ConfirmedEnds++ })
+	if c != nil {
+		e.pool.putIdle(e.call.Address, newConn(c), defaultIdleTimeout)
 	}
-	return n, err
+	return nil
 }
 
 // Close ends the exchange. The connection returns to the pool if the request was fully
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -65,6 +65,9 @@
 	// idle connections that their target ended or sent bytes on, and reused ones that it
 	// ended without an answer or answered with an answer to an earlier request.
 	Dialled, Reused, Poisoned uint64
+	// ConfirmedEnds and UnconfirmedEnds count the answers that ended with their connection,
+	// by whether their target was found to run afterwards.
+	ConfirmedEnds, UnconfirmedEnds uint64
 }
 
 // Pool opens connections to targets and holds idle ones by address. It is safe for
@@ -182,9 +185,14 @@
 		return nil, err
 	}
 	p.updateStats(func(s *Stats) { s.Dialled++ })
+	return newConn(raw), nil
+}
+
+// newConn returns a connection of a pool.
+func newConn(raw net.Conn) *conn {
 	c := &conn{Conn: raw}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
-	return c, nil
+	return c
 }
 
 // poison records that a target broke an idle connection or sent bytes on it. Its other idle
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -411,3 +411,65 @@
 		e.Close()
 	}
 }
+
+// endingTarget starts a target that answers one request without a length. Then its listener
+// and connections are closed, as the kernel does with those of a killed process.
+func endingTarget(t *testing.T, listenerFirst bool) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		if listenerFirst {
+			listener.Close()
+			conn.Close()
+			return
+		}
+		conn.Close()
+		// This connection is that of the check.
+		late, err := listener.Accept()
+		listener.Close()
+		if err == nil {
+			late.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against the end of a target's process that is taken for the end of its answer,
+// whichever of its sockets the kernel closes first.
+func TestAnswerWithoutLengthNeedsARunningTarget(t *testing.T) {
+	for _, listenerFirst := range []bool{true, false} {
+		p := NewPool(Options{})
+		_, err := sendAndRead(t, p, &Call{Address: endingTarget(t, listenerFirst), Method: "POST", URI: "/", Host: "h.example"})
+		assert.ErrorIs(t, err, ErrUnconfirmedEnd, "listener first: %v", listenerFirst)
+		assert.Equal(t, p.Stats().UnconfirmedEnds, uint64(1))
+	}
+}
+
+// Guards against connections to a target that pile up or are wasted: the one that shows that
+// the target runs serves the next request.
+func TestConnectionOfTheCheckIsReused(t *testing.T) {
+	tg := newTarget(t, func(n int64, conn net.Conn, _ *http.Request, _ []byte) bool {
+		if n == 1 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+			return false
+		}
+		return writeOK(conn, "next")
+	})
+	p := NewPool(Options{})
+	for _, want := range []string{"whole", "next"} {
+		text, err := sendAndRead(t, p, tg.call(true))
+		assert.NilError(t, err)
+		assert.Equal(t, text, want)
+	}
+	assert.Equal(t, p.Stats().Dialled, uint64(1))
+	assert.Equal(t, p.Stats().ConfirmedEnds, uint64(1))
+	assert.Equal(t, tg.conns.Load(), int64(2))
+}
