eventstream: judge a long line as a whole

No caller is known to have seen this; found by reading. A line longer than the read buffer of 2 KiB arrives in parts, and each last part was judged as a line: a part that held only the line's end closed the event in its middle, and one that began with "id:" set the number of the event, so that a stream which broke off there went on after a wrong event.

TestLongLineIsOneLine failed before.

--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -51,12 +51,14 @@
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	r.buffer = r.buffer[:0]
+	lineStart := 0
 	for {
-		line, err := r.source.ReadSlice('\n')
-		if appendErr := r.appendPart(line); appendErr != nil {
+		part, err := r.source.ReadSlice('\n')
+		if appendErr := r.appendPart(part); appendErr != nil {
 			return event, appendErr
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			// The rest of a long line follows.
 			continue
 		}
 		if err == io.EOF && len(r.buffer) > 0 {
@@ -65,7 +67,8 @@
 		if err != nil {
 			return event, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(r.buffer[lineStart:], "\r\n")
+		lineStart = len(r.buffer)
 		if len(text) == 0 {
 			event.Raw = r.buffer
 			return event, nil
--- a/eventstream/reader_test.go
+++ b/eventstream/reader_test.go
@@ -72,3 +72,16 @@
 		}
 	})
 }
+
+// Guards against a long line whose middle is taken for the end of an event or for an id.
+func TestLongLineIsOneLine(t *testing.T) {
+	for length := 2040; length <= 2060; length++ {
+		for _, rest := range []string{"", "id: 7"} {
+			text := "id: 1\ndata: " + strings.Repeat("y", length) + rest + "\ndata: z\n\n"
+			event, err := NewReader(strings.NewReader(text), nil).Next()
+			assert.NilError(t, err)
+			assert.Equal(t, string(event.Raw), text, "%d bytes and %q", length, rest)
+			assert.Equal(t, event.ID, int64(1), "%d bytes and %q", length, rest)
+		}
+	}
+}
