entry: only events continue a stream that has begun

Cause: relayBuffered sent every answer below 500, the retry policy delivered it, and a 200 with text or with events without numbers passed as events.

Change: once a stream has begun, any other answer is a failed attempt; events of a target that continues a stream need numbers, and lines that are no fields of an event are malformed in every stream.

TestErrorOfTheNextTargetStaysOutOfTheStream and a row of TestDecideTable failed before.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -43,6 +43,8 @@
 	lastEvent     int64
 	eventsSent    int
 	answerStarted bool
+	// startedBy is the target that began the stream that the caller gets.
+	startedBy string
 	// buffered is the last complete answer of a target that ran the request; bufferMemory
 	// is the memory charged for it.
 	buffered      *bufferedAnswer
@@ -218,7 +220,7 @@
 		memory.Release()
 		return attemptError(readFailureKind(ctx, err), target, reply.Status, err)
 	}
-	if kind, err := undeliverable(reply); err != nil {
+	if kind, err := f.undeliverable(reply); err != nil {
 		memory.Release()
 		return attemptError(kind, target, reply.Status, err)
 	}
@@ -234,9 +236,9 @@
 }
 
 // undeliverable returns an error for a reply that must not be sent to the caller: its
-// target did not run the request, or its status alone says so. For other replies the
-// error is nil.
-func undeliverable(reply *Reply) (attempt.Kind, error) {
+// target did not run the request, its status alone says so, or the caller already has a part
+// of a stream, which this answer does not continue. For other replies the error is nil.
+func (f *forwardRun) undeliverable(reply *Reply) (attempt.Kind, error) {
 	switch {
 	case reply.Status == http.StatusMisdirectedRequest:
 		return attempt.Refused, attempt.ErrTargetReplaced
@@ -244,6 +246,8 @@
 		return attempt.Refused, errTargetRefused
 	case statusImpliesNotRun(reply.Status):
 		return attempt.Failed, errTargetFailed
+	case f.answerStarted:
+		return attempt.Failed, errNotContinued
 	}
 	return 0, nil
 }
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -14,6 +14,7 @@
 var (
 	errTargetRefused = errors.New("the target did not run the request")
 	errTargetFailed  = errors.New("the target answered with a failure")
+	errNotContinued  = errors.New("the target did not continue the stream")
 	errEventGap      = errors.New("events of the stream are missing")
 	errEmptyStream   = errors.New("the stream ended with its connection before the first event")
 	errNoEvents      = errors.New("the stream carries bytes without a numbered event")
@@ -80,7 +81,8 @@
 
 // sendEvent sends one event to the caller. Numbered events that the caller already has are
 // skipped. An event whose number does not directly follow the last one is an error, since a
-// resumed stream must continue without a gap.
+// resumed stream must continue without a gap. So is an event without a number, other than a
+// comment, of a target that continues a stream: it does not show that it belongs there.
 func (f *forwardRun) sendEvent(reply *Reply, target string, event eventstream.Event) error {
 	if event.HasID && f.lastEvent != NoEvent {
 		if event.ID <= f.lastEvent {
@@ -90,11 +92,14 @@
 			return attemptError(attempt.Cut, target, reply.Status, errEventGap)
 		}
 	}
+	if !event.HasID && !event.Comment && f.continues(target) {
+		return attemptError(attempt.Cut, target, reply.Status, errNotContinued)
+	}
 	if !f.answerStarted {
 		if err := f.sink.Start(reply.Status, reply.Header, reply.Length); err != nil {
 			return f.callerDisconnected(err)
 		}
-		f.answerStarted = true
+		f.answerStarted, f.startedBy = true, target
 	}
 	if err := f.sink.Write(event.Raw); err != nil {
 		return f.callerDisconnected(err)
@@ -106,6 +111,11 @@
 	return nil
 }
 
+// continues reports whether a target continues a stream that another one began.
+func (f *forwardRun) continues(target string) bool {
+	return f.answerStarted && f.startedBy != target
+}
+
 // recordEventSent records that an event was sent to the caller, and the pause before it.
 func (f *forwardRun) recordEventSent() {
 	now := time.Now()
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -344,3 +344,37 @@
 	assert.Equal(t, refusal.Code, CodeQuarantined)
 	assert.Equal(t, refusal.Outcome, OutcomeNotRun)
 }
+
+// Guards against the text of an error, or another answer, inside a stream that an earlier
+// target began, and against a stream that then ends as complete: only events that continue
+// the stream may follow its events.
+func TestErrorOfTheNextTargetStaysOutOfTheStream(t *testing.T) {
+	begun := scriptedReply{status: http.StatusOK, body: eventRange(1, 5), err: errCut}
+	for name, next := range map[string]scriptedReply{
+		"not found":       {status: http.StatusNotFound, body: "no such page"},
+		"bad request":     {status: http.StatusBadRequest, body: "{\"error\": \"bad\"}"},
+		"redirect":        {status: http.StatusFound, body: "elsewhere"},
+		"no content":      {status: http.StatusNoContent},
+		"server error":    {status: http.StatusInternalServerError, body: "broken"},
+		"unavailable":     {status: http.StatusServiceUnavailable, body: "busy"},
+		"error as text":   {status: http.StatusOK, body: "upstream failed\n\n"},
+		"error as event":  {status: http.StatusOK, body: "event: error\ndata: failed\n\n"},
+		"another head":    {status: http.StatusOK, body: "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nbroken"},
+		"events and text": {status: http.StatusOK, body: eventRange(6, 7) + "upstream failed\n\n"},
+	} {
+		kept := eventRange(1, 5)
+		if name == "events and text" {
+			kept = eventRange(1, 7)
+		}
+		c := newForwardCase(begun, next)
+		assert.Assert(t, c.run(t.Context(), object.RepeatResume, true) != nil, "%s: the stream ended as complete", name)
+		assert.Equal(t, c.sink.body.String(), kept, name)
+
+		c = newForwardCase(begun, next, scriptedReply{status: http.StatusOK, body: ": comment\n\n" + strings.TrimPrefix(eventRange(1, 9), kept)})
+		c.attempts = 3
+		assert.NilError(t, c.run(t.Context(), object.RepeatResume, true), name)
+		assert.Equal(t, strings.Replace(c.sink.body.String(), ": comment\n\n", "", 1), eventRange(1, 9), name)
+		assert.Equal(t, c.sink.starts, 1)
+		assert.Equal(t, c.grants.open, 0)
+	}
+}
--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -8,12 +8,17 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 )
 
 // maxEventBytes bounds the size of one event.
 const maxEventBytes = 1 << 20
 
+// ErrMalformed is returned for bytes that are not lines of an event stream, for example the
+// head of another answer.
+var ErrMalformed = errors.New("the stream carries a line that is not a field of an event")
+
 // ErrTooLarge is returned for an event larger than maxEventBytes.
 var ErrTooLarge = errors.New("event exceeds 1 MiB")
 
@@ -25,6 +30,8 @@
 	// ID is the numeric id of the event. HasID is false if the event has no numeric id.
 	ID    int64
 	HasID bool
+	// Comment is true if the event holds nothing but comments.
+	Comment bool
 }
 
 // Reader reads events from a stream. It is not safe for concurrent use.
@@ -47,9 +54,10 @@
 
 // Next returns the next complete event. The error is io.EOF if the stream ends between two
 // events, io.ErrUnexpectedEOF if it ends inside one, ErrTooLarge if the event exceeds
-// maxEventBytes, and otherwise that of the stream or of reserve.
+// maxEventBytes, ErrMalformed if a line is not a field, and otherwise that of the stream or
+// of reserve.
 func (r *Reader) Next() (Event, error) {
-	var event Event
+	event := Event{Comment: true}
 	r.buffer = r.buffer[:0]
 	lineStart := 0
 	for {
@@ -73,6 +81,10 @@
 			event.Raw = r.buffer
 			return event, nil
 		}
+		if !isField(text) {
+			return event, ErrMalformed
+		}
+		event.Comment = event.Comment && text[0] == ':'
 		if id, found := bytes.CutPrefix(text, []byte("id:")); found {
 			number, parseErr := strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64)
 			event.ID, event.HasID = number, parseErr == nil
@@ -80,6 +92,25 @@
 	}
 }
 
+// isField reports whether a line has the form of a field: a name, or a name, a colon and a
+// value. A comment has an empty name. Names that the format does not define are permitted
+// only with a colon, because text without one is more likely an error message.
+func isField(line []byte) bool {
+	name, _, hasValue := bytes.Cut(bytes.TrimPrefix(line, byteOrderMark), []byte(":"))
+	if !hasValue {
+		return slices.Contains(bareFields, string(name))
+	}
+	return !bytes.ContainsFunc(name, func(r rune) bool {
+		return r != '-' && r != '_' && (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
+	})
+}
+
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\ufeff")
+
+// bareFields are the fields that the format defines, which may stand without a value.
+var bareFields = []string{"data", "event", "id", "retry"}
+
 // appendPart appends a line, or a part of one, to the current event. It returns
 // ErrTooLarge or the error of reserve.
 func (r *Reader) appendPart(line []byte) error {
--- a/eventstream/reader_test.go
+++ b/eventstream/reader_test.go
@@ -85,3 +85,24 @@
 		}
 	}
 }
+
+// Guards against bytes of another answer, or of an error message, that pass as events.
+func TestTextThatIsNoFieldIsMalformed(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\n",
+		"upstream failed\n\n",
+		"{\"error\": \"x\"}\n\n",
+		"<p>error: x</p>\n\n",
+		"id: 2\nhalf HTTP/1.1 200 OK\n\n",
+	} {
+		r := NewReader(strings.NewReader("\ufeffid: 1\ndata\n\n: comment\n\n"+text), nil)
+		event, err := r.Next()
+		assert.NilError(t, err)
+		assert.Assert(t, !event.Comment)
+		event, err = r.Next()
+		assert.NilError(t, err)
+		assert.Assert(t, event.Comment)
+		_, err = r.Next()
+		assert.ErrorIs(t, err, ErrMalformed, "%q", text)
+	}
+}
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -143,8 +143,9 @@
 func decideAnswer(a Attempt, repeatable bool) Action {
 	busy := a.Status == http.StatusTooManyRequests || a.Status == http.StatusServiceUnavailable
 	switch {
-	case a.Tokens > 0 && (a.Refused || a.Status >= http.StatusInternalServerError || busy):
-		// The attempt should have resumed a stream but failed to.
+	case a.Tokens > 0:
+		// The attempt should have resumed a stream but failed to. An answer of its own
+		// cannot be delivered inside the stream.
 		return continueStream(a)
 	case a.Refused && (repeatable || !a.EarlierMayHaveRun), repeatable && busy:
 		if a.RetryAfter > 0 {
--- a/retry/decide_test.go
+++ b/retry/decide_test.go
@@ -28,6 +28,7 @@
 		{Attempt{Outcome: TimedOut, Tokens: 4}, GiveUpUnknown, GiveUpUnknown, Resume, 4},
 		{Attempt{Outcome: StreamCut}, GiveUpUnknown, RetryElsewhere, RetryElsewhere, 0},
 		{Attempt{Outcome: StreamCut, Tokens: 4}, GiveUpUnknown, GiveUpUnknown, Resume, 4},
+		{Attempt{Outcome: Answered, Status: 404, Tokens: 4}, GiveUpUnknown, GiveUpUnknown, Resume, 4},
 		{Attempt{Outcome: Answered, Status: 200}, Deliver, Deliver, Deliver, 0},
 		{Attempt{Outcome: Answered, Status: 404}, Deliver, Deliver, Deliver, 0},
 		{Attempt{Outcome: Answered, Status: 409}, Deliver, Deliver, Deliver, 0},
