settings: the platform's figures may be fractions or missing

Cause: the template passes figures on as they are, and retrySlack (and memoryMb) were whole numbers. A figure that is not stated made the template render settings that are refused as well.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -104,7 +104,7 @@
 
 // NewGateway creates a gateway and opens its listeners. Nothing is served before Run.
 func NewGateway(s *settings.Settings, logger *eventlog.Logger) (*Gateway, error) {
-	debug.SetMemoryLimit(int64(float64(s.Gateway.MemoryMB) * softMemoryShare * (1 << 20)))
+	debug.SetMemoryLimit(int64(s.Gateway.MemoryMB * softMemoryShare * (1 << 20)))
 	g := &Gateway{
 		settings:        s,
 		logger:          logger,
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -249,7 +249,7 @@
 
 // memoryBytes returns a share of the memory that the settings give the daemon, in bytes.
 func (g *Gateway) memoryBytes(share float64) int64 {
-	return int64(share * float64(g.settings.Gateway.MemoryMB) * (1 << 20))
+	return int64(share * g.settings.Gateway.MemoryMB * (1 << 20))
 }
 
 // buildCallerServer creates the server that callers send their requests to.
@@ -307,6 +307,6 @@
 func (g *Gateway) divideRetryBudget() {
 	s := &g.settings.Gateway
 	liveDaemons := max(1, len(g.topologies.liveAll()))
-	slack := retryBudgetShare * float64(s.RetrySlack) / float64(liveDaemons)
+	slack := retryBudgetShare * s.RetrySlack / float64(liveDaemons)
 	g.retryPolicies.setBudget(retryBudgetShare*s.RetryRatio, slack/s.RetryWindow.Seconds())
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -183,16 +183,16 @@
 func (c *checker) checkGateway(s *Settings) {
 	g := &s.Gateway
 	c.checkAddress("gateway.store", g.Store)
-	c.checkDuration("gateway.grace", g.Grace)
+	c.checkNotNegative("gateway.grace", g.Grace)
 	c.checkDuration("gateway.retryWindow", g.RetryWindow)
 	c.checkDuration("gateway.limitWindow", g.LimitWindow)
-	c.checkDuration("gateway.applyWithin", g.ApplyWithin)
+	c.checkNotNegative("gateway.applyWithin", g.ApplyWithin)
 	if g.LimitOverage < 0 || g.LimitSlack < 0 {
 		c.report("gateway.limitOverage", "limitOverage %v and limitSlack %v must not be below zero", g.LimitOverage, g.LimitSlack)
 	}
-	c.checkAtLeastOne("gateway.memoryMb", float64(g.MemoryMB))
+	c.checkAtLeastOne("gateway.memoryMb", g.MemoryMB)
 	if g.RetryRatio < 0 || g.RetrySlack < 0 {
-		c.report("gateway.retryRatio", "retryRatio %v and retrySlack %d must not be below zero", g.RetryRatio, g.RetrySlack)
+		c.report("gateway.retryRatio", "retryRatio %v and retrySlack %v must not be below zero", g.RetryRatio, g.RetrySlack)
 	}
 	for dataCentre, region := range g.DataCentres {
 		c.checkName("gateway.dataCentres", dataCentre, locationPattern)
@@ -320,6 +320,12 @@
 	}
 }
 
+func (c *checker) checkNotNegative(key string, value time.Duration) {
+	if value < 0 {
+		c.report(key, "%v must not be below zero", value)
+	}
+}
+
 func (c *checker) checkLog(l Log) {
 	if _, err := logrus.ParseLevel(l.Level); err != nil {
 		c.report("log.level", "%q is not one of panic, fatal, error, warn, info, debug, trace", l.Level)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,7 +57,7 @@
 	// may retry in each RetryWindow; RetrySlack more retries are allowed in each.
 	RetryRatio  float64       `yaml:"retryRatio"`
 	RetryWindow time.Duration `yaml:"retryWindow"`
-	RetrySlack  int           `yaml:"retrySlack"`
+	RetrySlack  float64       `yaml:"retrySlack"`
 	// In each LimitWindow, all daemons together may admit for a client account its
 	// rate and burst, the fraction LimitOverage of that in addition, and LimitSlack
 	// in the unit of its limit.
@@ -68,7 +68,7 @@
 	// on this daemon.
 	ApplyWithin time.Duration `yaml:"applyWithin"`
 	// MemoryMB is the memory that the process may use, in MB.
-	MemoryMB int `yaml:"memoryMb"`
+	MemoryMB float64 `yaml:"memoryMb"`
 }
 
 // Seed is a peer whose address is configured, so that it is known without the VM
@@ -159,6 +159,15 @@
 	defaultStoreWrites = 30
 )
 
+// Default settings of a gateway, for a platform that does not state them. They are the
+// strictest that usual platforms state, and permit no retries and no excess over limits.
+const (
+	defaultGrace       = 5 * time.Second
+	defaultWindow      = 10 * time.Second
+	defaultApplyWithin = 2500 * time.Millisecond
+	defaultMemoryMB    = 184
+)
+
 // Default returns settings with default limits and log settings. All others are
 // empty.
 func Default() *Settings {
@@ -175,6 +184,13 @@
 			StoreWrites:   defaultStoreWrites,
 		},
 		Log: Log{Level: "info", Format: "json"},
+		Gateway: Gateway{
+			Grace:       defaultGrace,
+			RetryWindow: defaultWindow,
+			LimitWindow: defaultWindow,
+			ApplyWithin: defaultApplyWithin,
+			MemoryMB:    defaultMemoryMB,
+		},
 	}
 }
 
