platform: take every manifest that the platform's store accepts

Cause: the check of the object set demanded a tier of every account.

Change: a set that another system defines is external. Its names are any text without control characters and an account may have no tier. The metric catalog counts what is refused.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -128,6 +128,7 @@
 	}
 	m := s.manifest
 	set := &object.Set{
+		External:       true,
 		Services:       slices.Clone(m.Services),
 		Tiers:          m.Tiers,
 		ClientAccounts: m.Accounts,
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -9,6 +9,7 @@
 package catalog
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -38,6 +39,14 @@
 	IdleTimeout   time.Duration
 }
 
+// SetDefaults replaces the limits that are not stated, which are zero, by those of defaults.
+func (l *CallerLimits) SetDefaults(defaults CallerLimits) {
+	l.HeaderBytes = cmp.Or(l.HeaderBytes, defaults.HeaderBytes)
+	l.BodyBytes = cmp.Or(l.BodyBytes, defaults.BodyBytes)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, defaults.HeaderTimeout)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, defaults.IdleTimeout)
+}
+
 // Instance is one target as it is registered.
 type Instance struct {
 	ID         string
--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -105,6 +105,28 @@
 	outageLogged [topicCount]bool
 	// snapshotApplied is set for the topics of which a snapshot was applied.
 	snapshotApplied [topicCount]bool
+	stats           Stats
+}
+
+// Stats holds totals since the watcher was created, and the version in force.
+type Stats struct {
+	// RefusedEntries counts the rows that could not be decoded, RefusedObjects the targets and
+	// moves that were left out of a set, RefusedManifests the manifests that were not taken
+	// and RefusedSets the sets that were not put in force.
+	RefusedEntries, RefusedObjects, RefusedManifests, RefusedSets uint64
+	// Version is the version of the manifest in force, 0 before the first one.
+	Version uint64
+}
+
+// Stats returns a copy of the totals.
+func (w *Watcher) Stats() Stats {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	stats := w.stats
+	if m := w.state.Manifest(); m != nil {
+		stats.Version = m.Version
+	}
+	return stats
 }
 
 // NewWatcher returns a watcher with an empty state.
@@ -297,6 +319,7 @@
 func (w *Watcher) applyRecord(now time.Time, topic Topic, r *Record, afterOutage bool) bool {
 	switch {
 	case r.Err != nil:
+		w.stats.RefusedEntries++
 		w.Logger.EmitError(eventlog.EntryRefused, r.Err, eventlog.Fields{"topic": topic.String(), "key": r.Key, "revision": r.Revision})
 		return topic == RegistryTopic && w.removeTarget(now, r.Key, false)
 	case r.Deleted:
@@ -330,6 +353,7 @@
 	candidate := NewState(w.Regions)
 	candidate.SetManifest(r.Manifest)
 	if problems := candidate.Build().Check(); len(problems) > 0 {
+		w.stats.RefusedManifests++
 		w.Logger.EmitError(eventlog.ManifestRefused, problems.Err(), eventlog.Fields{"version": r.Manifest.Version, "revision": r.Revision})
 		return false
 	}
@@ -380,11 +404,13 @@
 	}
 	problems := set.Check()
 	if faulty := faultyTargets(problems); len(faulty) > 0 {
+		w.stats.RefusedObjects += uint64(len(faulty))
 		w.Logger.EmitError(eventlog.EntryRefused, problems.Err(), eventlog.Fields{"topic": RegistryTopic.String(), "targets": len(faulty)})
 		set.Targets = slices.DeleteFunc(set.Targets, func(t object.Target) bool { return faulty[t.Name] })
 		problems = set.Check()
 	}
 	if len(problems) > 0 {
+		w.stats.RefusedSets++
 		w.Logger.EmitError(eventlog.SetRefused, problems.Err(), nil)
 		return
 	}
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -143,6 +143,7 @@
 	g.mesh = mesh
 	g.metrics.Set("mesh", expvar.Func(func() any { return mesh.Stats() }))
 	g.metrics.Set("store", expvar.Func(func() any { return g.storeClient.Stats() }))
+	g.metrics.Set("catalog", expvar.Func(func() any { return g.watcher.Stats() }))
 	g.metrics.Set("connections", expvar.Func(func() any { return g.pool.Stats() }))
 	g.members.SetMesh(mesh)
 	return nil
--- a/daemon/gateway_callbacks.go
+++ b/daemon/gateway_callbacks.go
@@ -56,6 +56,7 @@
 // installConfig puts a validated object set and its caller limits in force on this daemon.
 func (g *Gateway) installConfig(set *object.Set, callerLimits catalog.CallerLimits) {
 	generation := g.generation.Add(1)
+	callerLimits.SetDefaults(defaultCallerLimits)
 	g.callerLimits.Store(&callerLimits)
 	g.topologies.setIndex(object.NewIndex(generation, set))
 	g.moves.SetConfig(set)
--- a/object/check.go
+++ b/object/check.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 )
 
 // namePattern is the form of names. Such names can be used in URLs, in log fields
@@ -18,6 +21,8 @@
 const (
 	// maxTextLength bounds text of the form of textPattern, in bytes.
 	maxTextLength = 128
+	// maxExternalLength bounds names and texts of an external set, in bytes.
+	maxExternalLength = 1024
 	// maxNameLength bounds names, in bytes, to keep messages between daemons, which
 	// carry names, small.
 	maxNameLength = 63
@@ -151,7 +156,7 @@
 	for _, kind := range Kinds() {
 		first := map[string]int{}
 		for i, name := range c.names[kind] {
-			if message := nameProblem(name); message != "" {
+			if message := c.nameProblem(name); message != "" {
 				c.report(kind, i, "name", "%s", message)
 				continue
 			}
@@ -164,6 +169,25 @@
 	}
 }
 
+// nameProblem returns a message that says what is wrong with the name of an object or a
+// location, or "". External names may have any form that fits a message and a header field.
+func (c *checker) nameProblem(name string) string {
+	switch {
+	case !c.set.External || name == "":
+		return nameProblem(name)
+	case len(name) > maxExternalLength:
+		return fmt.Sprintf("name has %d bytes, at most %d are allowed", len(name), maxExternalLength)
+	case !isPlainText(name):
+		return fmt.Sprintf("name %q holds control characters", name)
+	}
+	return ""
+}
+
+// isPlainText reports whether a text is UTF-8 without control characters.
+func isPlainText(text string) bool {
+	return utf8.ValidString(text) && !strings.ContainsFunc(text, unicode.IsControl)
+}
+
 // nameProblem returns a message that says what is wrong with a name, or "".
 func nameProblem(name string) string {
 	switch {
@@ -180,6 +204,9 @@
 // checkText checks the length and the characters of text that another system
 // defines.
 func (c *checker) checkText(kind Kind, index int, field, text string) {
+	if c.set.External && len(text) <= maxExternalLength && isPlainText(text) {
+		return
+	}
 	if len(text) > maxTextLength || !textPattern.MatchString(text) {
 		c.report(kind, index, field, "%q must be at most %d printable ASCII characters without spaces at the ends", text, maxTextLength)
 	}
--- a/object/check_account.go
+++ b/object/check_account.go
@@ -34,7 +34,7 @@
 }
 
 func (c *checker) checkAccount(i int, o *ClientAccount) {
-	if c.tiers[o.Tier] == nil {
+	if c.tiers[o.Tier] == nil && (o.Tier != "" || !c.set.External) {
 		c.report(KindClientAccount, i, "tier", "tier %q does not exist", o.Tier)
 	}
 	c.checkReferences(KindClientAccount, i, "services", o.Services, c.hasService, KindService)
--- a/object/check_target.go
+++ b/object/check_target.go
@@ -10,7 +10,7 @@
 		c.report(KindTarget, i, "kvTokens", "a target of a plain service has no KV cache, found %d", o.KVTokens)
 	}
 	for _, location := range []struct{ field, value string }{{"dataCentre", o.DataCentre}, {"region", o.Region}} {
-		if message := nameProblem(location.value); message != "" {
+		if message := c.nameProblem(location.value); message != "" {
 			c.report(KindTarget, i, location.field, "%s", message)
 		}
 	}
--- a/object/ingress.go
+++ b/object/ingress.go
@@ -77,8 +77,10 @@
 	if o.Host == "" {
 		c.report(KindIngress, i, "host", "host is missing")
 	}
-	if message := pathProblem(o.Prefix); message != "" {
+	if message := pathProblem(o.Prefix); message != "" && !c.set.External {
 		c.report(KindIngress, i, "prefix", "%s", message)
+	} else if !strings.HasPrefix(o.Prefix, "/") {
+		c.report(KindIngress, i, "prefix", "prefix %q must start with '/'", o.Prefix)
 	} else if !strings.HasSuffix(o.Prefix, "/") {
 		c.report(KindIngress, i, "prefix", "prefix %q must end with '/'", o.Prefix)
 	}
--- a/object/ingress_test.go
+++ b/object/ingress_test.go
@@ -105,3 +105,23 @@
 	assert.Equal(t, counts["b"], 0)
 	assert.Equal(t, counts["c"], 100)
 }
+
+// Guards against a set of another system that is refused for the form of its names, against
+// names that break a header field, and against forms that operators' own sets must not have.
+func TestExternalSetPermitsForeignNames(t *testing.T) {
+	build := func(name string, external bool) *Set {
+		return &Set{
+			External: external, Services: []Service{{Name: name, Kind: PlainService, Version: name + ".v", Discovered: true}},
+			Versions:       []Version{{Name: name + ".v", Service: name}},
+			ClientAccounts: []ClientAccount{{Name: name}},
+			Targets:        []Target{{Name: name, Service: name, DataCentre: name, Region: name, Address: "10.0.0.1:80", Hardware: name, Slots: 1, Versions: []string{name + ".v"}}},
+		}
+	}
+	for _, name := range []string{"a b/é", strings.Repeat("n", 200), "-x", "+4:5@"} {
+		assert.NilError(t, build(name, true).Check().Err(), name)
+		assert.Assert(t, len(build(name, false).Check()) > 0, name)
+	}
+	for _, name := range []string{"", "a\r\nX-Other: 1", "a\x00", "a\xff", strings.Repeat("n", 2000)} {
+		assert.Assert(t, len(build(name, true).Check()) > 0, "%q", name)
+	}
+}
--- a/object/types.go
+++ b/object/types.go
@@ -13,6 +13,9 @@
 	Moves          []Move          `json:"moves" yaml:"moves"`
 	Ingresses      []Ingress       `json:"ingresses,omitempty" yaml:"ingresses,omitempty"`
 
+	// External is set if another system defines the objects. It chooses the names, and an
+	// account without a tier has that of the ingress. The flag is not encoded.
+	External bool `json:"-" yaml:"-"`
 	// Positions holds where in the files the objects were read from. It is not
 	// part of the content: it is neither encoded nor compared, and may be nil.
 	Positions Positions `json:"-" yaml:"-"`
