catalog: an order does not stop the changes of configuration

No daemon put any change in force, and the order was not carried out.

Cause: the name of the order's move failed the check of the set, and one faulty object other than a target kept the whole set out of force. Versions such as 1.4.2+build.7 and a time limit beyond the year 9999 had the same effect.

A faulty move is left out like a faulty target (MF1113, metric catalog).

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -312,3 +313,49 @@
 	waitUntil(t, "second manifest", func() bool { return len(installedSet().Services) == 2 })
 	assert.DeepEqual(t, targetNames(installedSet()), []string{"good"})
 }
+
+// Guards against one order that stops all changes of configuration, because its service and
+// version make a name that does not pass the check of the set, or its time limit a deadline
+// that does not.
+func TestOrderDoesNotHoldUpTheManifest(t *testing.T) {
+	long := strings.Repeat("n", 200)
+	for _, order := range []Order{
+		{Service: "depot-records-application", To: "4f1c9a7e2b3d5f60718293a4b5c6d7e8f9012345"},
+		{Service: "s", To: "1.4.2+build.7"}, {Service: "s", To: "v 2/é"}, {Service: long, To: long},
+	} {
+		for _, service := range []string{order.Service, "another"} {
+			s := NewState(regions)
+			s.SetManifest(manifest(1, service))
+			one := instance("one", service, 1)
+			one.Version = order.To
+			s.SetInstance(one)
+			order.Revision = 9
+			s.SetMove(Move{Order: order, Deadline: time.Now().Add(time.Minute)})
+			assert.NilError(t, s.Build().Check().Err())
+		}
+	}
+
+	var installed *object.Set
+	w := NewWatcher(WatcherConfig{
+		Regions: regions, Logger: eventlog.Discard(), OnOrder: func(Order) {},
+		Install: func(set *object.Set, _ CallerLimits) { installed = set },
+	})
+	w.apply(time.Now(), OperatorTopic, Batch{Records: []Record{{Key: "config", Manifest: manifest(1, "s")}}}, true)
+	w.SetMove(Move{Order: Order{Service: "s", To: "v2"}, Deadline: time.Unix(1<<40, 0)})
+	w.apply(time.Now(), OperatorTopic, Batch{Records: []Record{{Key: "config", Manifest: manifest(2, "s", "more")}}}, false)
+	assert.Equal(t, len(installed.Services), 2)
+	assert.Equal(t, len(installed.Moves), 0)
+	assert.Equal(t, w.Stats(), Stats{Version: 2, RefusedObjects: 2})
+}
+
+// Guards against an order that takes the state of an earlier order for the same version, and
+// against an older order that replaces a newer one because its deadline was agreed later.
+func TestEachOrderIsAMoveOfItsOwn(t *testing.T) {
+	first, second := Order{Service: "s", To: "v2", Revision: 3}, Order{Service: "s", To: "v2", Revision: 8}
+	assert.Assert(t, first.MoveName() != second.MoveName())
+	s := NewState(regions)
+	s.SetManifest(manifest(1, "s"))
+	s.SetMove(Move{Order: second, Deadline: time.Now().Add(time.Minute)})
+	s.SetMove(Move{Order: first, Deadline: time.Now().Add(time.Minute)})
+	assert.Equal(t, s.Build().Moves[0].Name, second.MoveName())
+}
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // Suffixes of version names. The targets of a service are divided into those of the stable
@@ -35,10 +37,15 @@
 // moveSoakTime is the time at full share after which a move is done.
 const moveSoakTime = 500 * time.Millisecond
 
-// MoveName returns the name of the move of an order. It contains the version, so that a later
-// order for another version is a different move.
+// MoveName returns the name of the move of an order. It contains the version and the revision,
+// so that each order is a move of its own, also one for a version that was ordered before.
+// Service and version are shortened if they are long.
 func (o Order) MoveName() string {
-	return o.Service + ".to." + o.To
+	name := provider.KeySegment(o.Service) + ".to." + provider.KeySegment(o.To)
+	if o.Revision > 0 {
+		name += "." + strconv.FormatUint(o.Revision, 10)
+	}
+	return name
 }
 
 // toObject returns the move as operators would publish it.
@@ -115,8 +122,12 @@
 	return ids
 }
 
-// SetMove sets the move of a service and replaces an earlier one.
+// SetMove sets the move of a service and replaces an earlier one. A move whose order is older
+// than that of the present one is ignored.
 func (s *State) SetMove(m Move) {
+	if s.moves[m.Service].Revision > m.Revision {
+		return
+	}
 	s.moves[m.Service] = m
 }
 
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -69,6 +69,8 @@
 	To string
 	// MaxDuration is the time within which the move must end.
 	MaxDuration time.Duration
+	// Revision is that of the order's row. It distinguishes orders for the same version.
+	Revision uint64
 }
 
 // Topic is one of the parts of a source, which are read separately.
--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -330,7 +330,9 @@
 	case r.Manifest != nil:
 		return w.applyManifest(r)
 	case r.Order != nil:
-		w.OnOrder(*r.Order)
+		order := *r.Order
+		order.Revision = r.Revision
+		w.OnOrder(order)
 	}
 	return false
 }
@@ -394,19 +396,20 @@
 	return changed
 }
 
-// install validates the whole set and puts it in force. Targets that fail validation are left
-// out, so that a row of another writer does not block the manifest. If the set is still
-// invalid, the set in force stays. The caller holds mu.
+// install validates the whole set and puts it in force. Targets and moves that fail validation
+// are left out, so that a row of another writer or an order does not block the manifest. If the
+// set is still invalid, the set in force stays. The caller holds mu.
 func (w *Watcher) install() {
 	set := w.state.Build()
 	if set == nil {
 		return
 	}
 	problems := set.Check()
-	if faulty := faultyTargets(problems); len(faulty) > 0 {
-		w.stats.RefusedObjects += uint64(len(faulty))
-		w.Logger.EmitError(eventlog.EntryRefused, problems.Err(), eventlog.Fields{"topic": RegistryTopic.String(), "targets": len(faulty)})
-		set.Targets = slices.DeleteFunc(set.Targets, func(t object.Target) bool { return faulty[t.Name] })
+	if faultyTargets, faultyMoves := faultyObjects(problems); len(faultyTargets)+len(faultyMoves) > 0 {
+		w.stats.RefusedObjects += uint64(len(faultyTargets) + len(faultyMoves))
+		w.Logger.EmitError(eventlog.ObjectsLeftOut, problems.Err(), eventlog.Fields{"targets": len(faultyTargets), "moves": len(faultyMoves)})
+		set.Targets = slices.DeleteFunc(set.Targets, func(t object.Target) bool { return faultyTargets[t.Name] })
+		set.Moves = slices.DeleteFunc(set.Moves, func(m object.Move) bool { return faultyMoves[m.Name] })
 		problems = set.Check()
 	}
 	if len(problems) > 0 {
@@ -417,13 +420,16 @@
 	w.Install(set, w.state.Manifest().Limits)
 }
 
-// faultyTargets returns the names of the targets that have problems.
-func faultyTargets(problems object.Problems) map[string]bool {
-	faulty := make(map[string]bool)
+// faultyObjects returns the names of the targets and of the moves that have problems.
+func faultyObjects(problems object.Problems) (targets, moves map[string]bool) {
+	targets, moves = make(map[string]bool), make(map[string]bool)
 	for _, p := range problems {
-		if p.Kind == object.KindTarget {
-			faulty[p.Object] = true
+		switch p.Kind {
+		case object.KindTarget:
+			targets[p.Object] = true
+		case object.KindMove:
+			moves[p.Object] = true
 		}
 	}
-	return faulty
+	return targets, moves
 }
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -90,9 +90,9 @@
 }
 
 // startLocked determines the deadline of an order in the background. An order that equals
-// the last one of its service is ignored. The caller holds mu.
+// the last one of its service, or is older, is ignored. The caller holds mu.
 func (h *orderHandler) startLocked(order catalog.Order) {
-	if h.byService[order.Service] == order {
+	if last := h.byService[order.Service]; last == order || last.Revision > order.Revision {
 		return
 	}
 	h.byService[order.Service] = order
@@ -125,7 +125,7 @@
 func (h *orderHandler) recordDeadline(ctx context.Context, order catalog.Order, proposed time.Time) (time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
 	defer cancel()
-	key := "orders/" + order.Service + "/" + order.To
+	key := "orders/" + provider.KeySegment(order.MoveName())
 	value, err := json.Marshal(orderRow{Deadline: proposed.Round(0).UTC()})
 	if err != nil {
 		return time.Time{}, fault.Wrap(err, "orders.encode", key)
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -25,6 +25,7 @@
 	SourceLost          Event = 1110
 	SourceBack          Event = 1111
 	SourceRenewed       Event = 1112
+	ObjectsLeftOut      Event = 1113
 	SessionUp           Event = 1201
 	SessionDown         Event = 1202
 	MemberChanged       Event = 1203
@@ -78,6 +79,7 @@
 	EntryRefused:        {logrus.WarnLevel, "entry of the platform's store cannot be read and is skipped"},
 	SourceLost:          {logrus.WarnLevel, "platform's store does not answer; the last picture stays in force"},
 	SourceBack:          {logrus.InfoLevel, "platform's store answers again"},
+	ObjectsLeftOut:      {logrus.ErrorLevel, "targets or moves do not pass their check and are left out of the set"},
 	SourceRenewed:       {logrus.InfoLevel, "store is asked for changes that no other daemon passed on"},
 	SessionUp:           {logrus.InfoLevel, "session with a peer is up"},
 	SessionDown:         {logrus.WarnLevel, "session with a peer ended"},
--- a/rollout/row.go
+++ b/rollout/row.go
@@ -6,6 +6,7 @@
 
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/object"
+	"github.com/marjoramflow/marjoramflow/provider"
 )
 
 // Phase is the state of one attempt of a move.
@@ -68,14 +69,14 @@
 
 // RowKey returns the key of a move's row.
 func RowKey(move string) string {
-	return "moves/" + move
+	return "moves/" + provider.KeySegment(move)
 }
 
 // LeaseKey returns the key of the lease for the moves of a service. Moves of one
 // service share a lease, because its targets compare the fencing numbers of all
 // commands that they receive.
 func LeaseKey(service string) string {
-	return "leases/moves-" + service
+	return "leases/moves-" + provider.KeySegment(service)
 }
 
 // Encode returns the row's value.
