plainservice: bound the memory of all answers together

Reported by other operators: a server that sends bytes without end takes the memory of the machine that called it. On the platform's interface a budget prevents it; in the product's own, each body was bounded at 16 MiB and heads at 10 MB, but not all together.

Change: a budget of 64 MiB for answers that are being read; heads of at most 64 KiB.

--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -15,6 +15,9 @@
 	idleTimeout = 15 * time.Second
 	// maxIdlePerTarget bounds the idle pooled connections to one target.
 	maxIdlePerTarget = 64
+	// maxHeaderBytes bounds the status line and the headers of an answer, which a faulty
+	// target may send without end.
+	maxHeaderBytes = 64 << 10
 )
 
 // NewDialer returns a dialer for connections to targets.
@@ -33,6 +36,8 @@
 			MaxIdleConnsPerHost: maxIdlePerTarget,
 			DisableCompression:  true,
 			DisableKeepAlives:   freshConnections,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/plainservice/client.go
+++ b/plainservice/client.go
@@ -16,6 +16,7 @@
 	"strings"
 
 	"github.com/marjoramflow/marjoramflow/attempt"
+	"github.com/marjoramflow/marjoramflow/bytebudget"
 	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/internal/outbound"
 	"github.com/marjoramflow/marjoramflow/liveness"
@@ -24,6 +25,10 @@
 // MaxAnswerBytes bounds the body of an answer, which is held in memory.
 const MaxAnswerBytes = 16 << 20
 
+// answerMemoryBytes bounds the memory of all answers that are being read, so that targets that
+// send bodies without end do not use up the memory of the VM.
+const answerMemoryBytes = 64 << 20
+
 // VersionHeader is the header that names the version that the request is for.
 const VersionHeader = "X-Marjoram-Version"
 
@@ -53,11 +58,12 @@
 type Client struct {
 	pooled    *http.Client
 	singleUse *http.Client
+	memory    *bytebudget.Budget
 }
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
-	return &Client{pooled: outbound.NewClient(false), singleUse: outbound.NewClient(true)}
+	return &Client{pooled: outbound.NewClient(false), singleUse: outbound.NewClient(true), memory: bytebudget.New(answerMemoryBytes)}
 }
 
 // Do runs one attempt and reads the whole answer. Its errors are *attempt.Error, of kind
@@ -74,7 +80,9 @@
 		return nil, call.newError(kindOfSendError(ctx, connected), 0, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	memory := c.memory.NewAllocation()
+	defer memory.Release()
+	body, err := memory.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1), resp.ContentLength)
 	if err != nil {
 		return nil, call.newError(attempt.Cut, resp.StatusCode, err)
 	}
--- a/plainservice/client_test.go
+++ b/plainservice/client_test.go
@@ -5,12 +5,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -188,3 +192,59 @@
 		listener.Close()
 	}
 }
+
+// endlessTarget starts a target that answers with head and then repeats text until the
+// connection is closed. It returns the target's address.
+func endlessTarget(t *testing.T, head, text string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, head)
+				for err == nil {
+					_, err = io.WriteString(conn, text)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against endless answers of faulty targets that take the memory of the daemon: their
+// heads, and the bodies of many at once.
+func TestEndlessAnswersAreBounded(t *testing.T) {
+	const callers, maxHeapBytes = 40, 4 * answerMemoryBytes
+	client := NewClient()
+	head := endlessTarget(t, "HTTP/1.1 200 OK\r\n", "X-More: "+strings.Repeat("x", 1000)+"\r\n")
+	body := endlessTarget(t, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 64<<10))
+	var calls sync.WaitGroup
+	var ended atomic.Int64
+	for i := range callers {
+		calls.Go(func() {
+			defer ended.Add(1)
+			_, err := client.Do(t.Context(), keyedCall([]string{head, body}[i%2]))
+			assert.Check(t, err != nil)
+		})
+	}
+	maxHeap := uint64(0)
+	var stats runtime.MemStats
+	for ended.Load() < callers {
+		runtime.ReadMemStats(&stats)
+		maxHeap = max(maxHeap, stats.HeapAlloc)
+		time.Sleep(time.Millisecond)
+	}
+	calls.Wait()
+	assert.Assert(t, maxHeap < maxHeapBytes, "%d MB on the heap", maxHeap>>20)
+	assert.Equal(t, client.memory.Used(), int64(0))
+}
