gateway: answer every request before the grace period ends

Reported by other operators: requests that came late in the grace of a planned stop were taken, passed on and cut with no answer at its end. Here the same could happen in two ways, found by reading: with a grace period of three seconds or less requests were taken until its end, since the time of refusal was fixed at 2.5 s, and a request that waited for a target went on waiting until the process ended.

Change: new requests are refused after a third of the grace period (2.5 s at most), waiting ones after half of it, and what still runs is aborted 0.7 s before its end, with an answer.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -231,35 +231,81 @@
 }
 
 const (
-	// exitMargin is the part of the grace period that is kept for the exit of the process.
+	// exitMargin is the part of the grace period that is kept for the last answers and the exit
+	// of the process.
 	exitMargin = 700 * time.Millisecond
+	// abortedAnswersTime is the part of exitMargin in which the answers to aborted requests
+	// are sent.
+	abortedAnswersTime = 300 * time.Millisecond
 	// stopAcceptingAfter is the time, from the start of a stop, in which requests on
 	// keep-alive connections are still run. The load balancer notices the stop within two
 	// probes, 2 s, and requests that start later might not end within the grace period.
 	stopAcceptingAfter = 2500 * time.Millisecond
-	// shutDownAfter is the time, from the start of a stop, in which requests may still
+	// lateRequestTime is the time, after stopAcceptingAfter, in which requests may still
 	// arrive on keep-alive connections. Each is answered, and its connection is closed
 	// after the answer.
-	shutDownAfter = stopAcceptingAfter + 500*time.Millisecond
+	lateRequestTime = 500 * time.Millisecond
+	// The shares of the grace period after which requests are refused, and after which none
+	// waits for a target, at the latest. The rest is for the attempts that have begun.
+	stopAcceptingShare = 1.0 / 3
+	stopWaitingShare   = 1.0 / 2
+	// exitShare bounds exitMargin to a share of the grace period.
+	exitShare = 1.0 / 4
 )
 
-// stop ends the daemon's work without interrupting requests. It closes connections after
-// their next answer, leaves the roster and the mesh, refuses new requests after
-// stopAcceptingAfter, and from shutDownAfter on waits for the requests in flight. It takes
-// at most the grace period of the settings less exitMargin.
+// stopSchedule holds the times of the steps of a stop, from its start.
+type stopSchedule struct {
+	// stopAccepting is when new requests are refused, shutDown when connections without a
+	// request are closed, stopWaiting when requests that wait for a target are refused, and
+	// abort when the requests that still run are ended.
+	stopAccepting, shutDown, stopWaiting, abort time.Duration
+}
+
+// newStopSchedule returns the schedule for a grace period.
+func newStopSchedule(grace time.Duration) stopSchedule {
+	share := func(part float64) time.Duration { return time.Duration(part * float64(grace)) }
+	s := stopSchedule{
+		stopAccepting: min(stopAcceptingAfter, share(stopAcceptingShare)),
+		stopWaiting:   share(stopWaitingShare),
+		abort:         grace - min(exitMargin, share(exitShare)),
+	}
+	s.shutDown = min(s.stopAccepting+lateRequestTime, s.stopWaiting)
+	return s
+}
+
+// stop ends the daemon's work without interrupting requests, by the schedule of the grace
+// period. It closes connections after their next answer, leaves the roster and the mesh,
+// refuses new requests and later those that still wait for a target, and waits for the
+// requests in flight. What is left at the end is aborted, so that its callers get an answer.
 func (g *Gateway) stop(ctx context.Context) error {
 	g.stopping.Store(true)
 	g.logger.Emit(eventlog.DaemonStopping, eventlog.Fields{"open": g.ingress.InFlight()})
-	grace := g.settings.Gateway.Grace
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace-exitMargin)
+	schedule := newStopSchedule(g.settings.Gateway.Grace)
+	ctx = context.WithoutCancel(ctx)
+	runCtx, cancel := context.WithTimeout(ctx, schedule.abort)
 	defer cancel()
 	g.callerServer.DisableKeepAlives()
-	stopAcceptingTimer := time.AfterFunc(stopAcceptingAfter, g.ingress.StopAccepting)
-	defer stopAcceptingTimer.Stop()
+	defer time.AfterFunc(schedule.stopAccepting, g.ingress.StopAccepting).Stop()
+	defer time.AfterFunc(schedule.stopWaiting, g.entryRunner.StopWaiting).Stop()
+	shutDownTimer := time.NewTimer(schedule.shutDown)
+	defer shutDownTimer.Stop()
+	g.leave(runCtx, schedule.shutDown)
+	<-shutDownTimer.C
+	if err := g.callerServer.Shutdown(runCtx); err == nil || runCtx.Err() == nil {
+		return err
+	}
+	g.entryRunner.Abort()
+	abortCtx, cancelAbort := context.WithTimeout(ctx, abortedAnswersTime)
+	defer cancelAbort()
+	return g.callerServer.Shutdown(abortCtx)
+}
+
+// leave leaves the roster and the mesh, for at most a time.
+func (g *Gateway) leave(ctx context.Context, atMost time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, atMost)
+	defer cancel()
 	if err := g.roster.Leave(ctx); err != nil {
 		g.logger.EmitError(eventlog.PlatformUnavailable, err, nil)
 	}
 	g.members.Leave(ctx)
-	sleep(ctx, shutDownAfter)
-	return g.callerServer.Shutdown(ctx)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,7 @@
 	// runPrefix, which is random, and runCount make run ids unique across all daemons.
 	runPrefix string
 	runCount  atomic.Uint64
+	stops     stopSignals
 }
 
 // New returns a Runner with the given dependencies.
@@ -69,7 +70,7 @@
 	if config.Blocklist == nil {
 		config.Blocklist = allowAll{}
 	}
-	return &Runner{Config: config, runPrefix: rand.Text()}
+	return &Runner{Config: config, runPrefix: rand.Text(), stops: newStopSignals()}
 }
 
 // newRunID returns a unique id for one run of a request. The request id does not serve
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -63,6 +63,7 @@
 func (runner *Runner) Forward(ctx context.Context, request *ForwardRequest, sink ForwardSink) (Trace, error) {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	defer context.AfterFunc(runner.stops.running, cancel)()
 	suspect, quarantined := runner.checkQuarantine(ctx, request.Fingerprint)
 	if quarantined {
 		return Trace{}, quarantinedRefusal()
@@ -91,6 +92,9 @@
 		if err == nil {
 			return nil
 		}
+		if refusal := f.abortedRefusal(err); refusal != nil {
+			return refusal
+		}
 		if f.disconnectErr != nil || errors.Is(ctx.Err(), context.Canceled) {
 			return &Refusal{Status: statusClientClosed, Code: CodeCanceled, Outcome: f.outcome(), Message: "the caller closed the connection", Err: err}
 		}
@@ -110,7 +114,7 @@
 	if refusal := f.checkBlocklist(ctx); refusal != nil {
 		return refusal
 	}
-	grant, err := f.runner.Grants.Reserve(ctx, f.grantRequest())
+	grant, err := f.reserve(ctx)
 	if err != nil {
 		return err
 	}
