upstream: a target that was started again has not finished its answers

Related to the ends of killed targets: a process that is started again at once at its address accepts the connection of the check, and its answers without a length would pass as complete. Found by reading; not seen on real processes.

Change: the check fails as well when the target has ended the connections of all other exchanges at the same time. A single exchange has no such witness.

TestTargetThatStartedAgainIsNotRunning fails without the change.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -73,6 +73,8 @@
 	bodyComplete   bool
 	// readDeadline is the deadline of reads, also for the check of the body's end.
 	readDeadline time.Time
+	// sentAt is when the exchange began.
+	sentAt time.Time
 }
 
 // Send writes a request and reads the status line and headers of its answer. An error
@@ -84,10 +86,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	e := &Exchange{NewConnection: c.idleUntil.IsZero(), pool: p, call: call, conn: c, ctx: ctx, writeResult: make(chan error, 1)}
+	e := &Exchange{NewConnection: c.idleUntil.IsZero(), pool: p, call: call, conn: c, ctx: ctx, sentAt: time.Now(), writeResult: make(chan error, 1)}
+	p.addExchange(e)
 	e.stopCancelHook = context.AfterFunc(ctx, func() { c.Close() })
 	e.writeRequest()
 	if err := e.readAnswer(); err != nil {
+		if ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			p.recordRemoteEnd(e)
+		}
 		e.Close()
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
@@ -204,9 +210,11 @@
 func (e *Exchange) Read(p []byte) (int, error) {
 	n, err := e.response.Body.Read(p)
 	if err != io.EOF || e.bodyComplete {
+		e.noteEnd(err)
 		return n, err
 	}
 	if !e.Delimited {
+		e.pool.recordRemoteEnd(e)
 		if err := e.confirmEnd(); err != nil {
 			return n, err
 		}
@@ -215,8 +223,17 @@
 	return n, io.EOF
 }
 
+// noteEnd records the end of the connection, if that is what a read failed for.
+func (e *Exchange) noteEnd(err error) {
+	if err != nil && err != io.EOF && !errors.Is(err, os.ErrDeadlineExceeded) && e.ctx.Err() == nil {
+		e.pool.recordRemoteEnd(e)
+	}
+}
+
 // confirmEnd returns an error unless the target runs after its answer has ended with the
-// connection. The connection that the check opens replaces the one that ended.
+// connection. A target that was started again accepts connections too, but has ended those of
+// all other exchanges at the same time. The connection that the check opens replaces the one
+// that ended.
 func (e *Exchange) confirmEnd() error {
 	ctx := e.ctx
 	if !e.readDeadline.IsZero() {
@@ -224,7 +241,14 @@
 		ctx, cancel = context.WithDeadline(ctx, e.readDeadline)
 		defer cancel()
 	}
+	endedAt := time.Now()
 	c, err := liveness.Check(ctx, &e.pool.dialer, e.call.Address)
+	if err == nil && e.pool.endedWithOthers(e, endedAt) {
+		err = errAllConnectionsEnded
+		if c != nil {
+			c.Close()
+		}
+	}
 	if err != nil {
 		e.pool.updateStats(func(s *Stats) { s.UnconfirmedEnds++ })
 		return fmt.Errorf("%w: %w", ErrUnconfirmedEnd, err)
@@ -239,6 +263,7 @@
 // Close ends the exchange. The connection returns to the pool if the request was fully
 // written, the body was read to its end and the target did not ask to close it.
 func (e *Exchange) Close() {
+	e.pool.removeExchange(e)
 	reusable := e.stopCancelHook() && e.bodyComplete && !e.response.Close
 	if reusable {
 		select {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -78,6 +78,8 @@
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	stats Stats
+	// exchanges holds the exchanges by address.
+	exchanges map[string]*addressState
 	// distrustedUntil is the time, by address, until which requests that must not run twice
 	// get new connections.
 	distrustedUntil map[string]time.Time
@@ -120,6 +122,7 @@
 	}
 	return &Pool{
 		idle:            make(map[string][]*conn),
+		exchanges:       make(map[string]*addressState),
 		distrustedUntil: make(map[string]time.Time),
 		dialer: net.Dialer{
 			Timeout: options.DialTimeout,
@@ -293,6 +296,7 @@
 			delete(p.distrustedUntil, address)
 		}
 	}
+	p.forgetAddresses(now)
 	for address, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -473,3 +473,48 @@
 	assert.Equal(t, p.Stats().ConfirmedEnds, uint64(1))
 	assert.Equal(t, tg.conns.Load(), int64(2))
 }
+
+// Guards against a target that was killed and started again at once at its address, and is
+// then taken for one that has run all the time. All but the last of its connections may have
+// ended already.
+func TestTargetThatStartedAgainIsNotRunning(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		const streams = 4
+		begun := make(chan net.Conn, streams)
+		release := make(chan struct{})
+		tg := newTarget(t, func(n int64, conn net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			begun <- conn
+			<-release
+			return false
+		})
+		p := NewPool(Options{})
+		results := make(chan error, streams)
+		for range streams {
+			go func() {
+				_, err := sendAndRead(t, p, tg.call(false))
+				results <- err
+			}()
+		}
+		var conns []net.Conn
+		for range streams {
+			conns = append(conns, <-begun)
+		}
+		// The process keeps one connection if it has not been killed.
+		ending := streams
+		if kept {
+			ending--
+		}
+		for _, conn := range conns[:ending] {
+			conn.Close()
+		}
+		for range ending {
+			if err := <-results; kept {
+				assert.NilError(t, err)
+			} else {
+				assert.ErrorIs(t, err, ErrUnconfirmedEnd)
+			}
+		}
+		close(release)
+	}
+}
