--- a/entry/forward.go
+++ b/entry/forward.go
@@ -43,8 +43,8 @@
 	lastEvent     int64
 	eventsSent    int
 	answerStarted bool
-	// startedBy is the target that began the stream that the caller gets.
-	startedBy string
+	// startedIn is the number of the attempt that began the stream that the caller gets.
+	startedIn int
 	// buffered is the last complete answer of a target that ran the request; bufferMemory
 	// is the memory charged for it.
 	buffered      *bufferedAnswer
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -92,14 +92,14 @@
 			return attemptError(attempt.Cut, target, reply.Status, errEventGap)
 		}
 	}
-	if !event.HasID && !event.Comment && f.continues(target) {
+	if !event.HasID && !event.Comment && f.continues() {
 		return attemptError(attempt.Cut, target, reply.Status, errNotContinued)
 	}
 	if !f.answerStarted {
 		if err := f.sink.Start(reply.Status, reply.Header, reply.Length); err != nil {
 			return f.callerDisconnected(err)
 		}
-		f.answerStarted, f.startedBy = true, target
+		f.answerStarted, f.startedIn = true, f.attempts
 	}
 	if err := f.sink.Write(event.Raw); err != nil {
 		return f.callerDisconnected(err)
@@ -111,9 +111,9 @@
 	return nil
 }
 
-// continues reports whether a target continues a stream that another one began.
-func (f *forwardRun) continues(target string) bool {
-	return f.answerStarted && f.startedBy != target
+// continues reports whether this attempt continues a stream that an earlier one began.
+func (f *forwardRun) continues() bool {
+	return f.answerStarted && f.startedIn != f.attempts
 }
 
 // recordEventSent records that an event was sent to the caller, and the pause before it.
