--- a/settings/check.go
+++ b/settings/check.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/sirupsen/logrus"
 
@@ -22,6 +23,10 @@
 // between daemons contain names.
 const maxNameBytes = 63
 
+// maxForeignNameBytes is the maximum length of a name that a platform chooses. Row keys of at
+// most 200 bytes contain it.
+const maxForeignNameBytes = 160
+
 var (
 	// namePattern matches daemon names. It permits colons, since names may be
 	// derived from addresses.
@@ -72,7 +77,7 @@
 // Check returns nil or an error of type Problems with all problems that can be
 // found without reading other files or opening connections.
 func (s *Settings) Check() error {
-	c := &checker{}
+	c := &checker{foreignNames: s.Gateway.Enabled()}
 	c.checkName("name", s.Name, namePattern)
 	c.checkName("dataCentre", s.DataCentre, locationPattern)
 	c.checkName("region", s.Region, locationPattern)
@@ -109,6 +114,8 @@
 // checker collects the problems that its methods find.
 type checker struct {
 	problems Problems
+	// foreignNames is set if a platform chooses the names of daemons and locations.
+	foreignNames bool
 }
 
 func (c *checker) report(key, format string, args ...any) {
@@ -119,6 +126,10 @@
 	switch {
 	case value == "":
 		c.report(key, "is missing")
+	case c.foreignNames:
+		if len(value) > maxForeignNameBytes || strings.ContainsFunc(value, unicode.IsControl) {
+			c.report(key, "%q must have at most %d bytes and no control characters", value, maxForeignNameBytes)
+		}
 	case len(value) > maxNameBytes || !pattern.MatchString(value):
 		c.report(key, "%q must have at most %d characters of the form %s", value, maxNameBytes, pattern)
 	}
