upstream: a witness connection shows that a target has not ended

A trial with real processes, beside other load: of 24 streams whose target was killed and started again at once at its address, one ended as complete. The new process had accepted the connection of the check.

Change: the connection of the check is opened when an answer without a length begins. If it is still open when the answer has ended, the process is the one that sent it. If it ended at the same time, the answer is cut; if it ended before, idle, a new connection decides as before.

TestWitnessOfTheOnlyAnswer failed with a new connection at the end alone.

--- a/liveness/liveness.go
+++ b/liveness/liveness.go
@@ -42,7 +42,11 @@
 // settleTime. The connection that it opened is returned for further use, or nil if the
 // process did not keep it.
 func Check(ctx context.Context, dialer Dialer, address string) (net.Conn, error) {
-	resets := 0
+	return check(ctx, dialer, address, 0)
+}
+
+// check is Check after a number of connections that were reset.
+func check(ctx context.Context, dialer Dialer, address string, resets int) (net.Conn, error) {
 	var lastErr error
 	for range maxDials {
 		conn, err := dialer.DialContext(ctx, "tcp", address)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -75,6 +75,8 @@
 	readDeadline time.Time
 	// sentAt is when the exchange began.
 	sentAt time.Time
+	// witness is set for an answer that ends with its connection.
+	witness *liveness.Witness
 }
 
 // Send writes a request and reads the status line and headers of its answer. An error
@@ -123,8 +125,12 @@
 			return err
 		}
 		if e.NewConnection || e.call.OwnAnswer == nil || e.call.OwnAnswer(e.Header) {
+			e.openWitness()
 			return nil
 		}
+		if !e.Delimited {
+			break
+		}
 		e.pool.poison(e.call.Address)
 		if n, err := io.Copy(io.Discard, io.LimitReader(e.response.Body, maxSkippedBytes)); err != nil || n == maxSkippedBytes {
 			break
@@ -133,6 +139,14 @@
 	return errNotOwnAnswer
 }
 
+// openWitness opens the connection that shows at the end of an answer without a length that
+// the target has not ended.
+func (e *Exchange) openWitness() {
+	if !e.Delimited {
+		e.witness = liveness.Watch(e.ctx, &e.pool.dialer, e.call.Address)
+	}
+}
+
 // maxInlineBodyBytes is the largest body that is written before the answer is read. It
 // fits into the buffers of a socket, so the write does not block. A larger body is
 // written concurrently, because a target may answer before it has read all of it.
@@ -242,7 +256,7 @@
 		defer cancel()
 	}
 	endedAt := time.Now()
-	c, err := liveness.Check(ctx, &e.pool.dialer, e.call.Address)
+	c, err := e.witness.Confirm(ctx, endedAt)
 	if err == nil && e.pool.endedWithOthers(e, endedAt) {
 		err = errAllConnectionsEnded
 		if c != nil {
@@ -264,6 +278,9 @@
 // written, the body was read to its end and the target did not ask to close it.
 func (e *Exchange) Close() {
 	e.pool.removeExchange(e)
+	if e.witness != nil {
+		e.witness.Close()
+	}
 	reusable := e.stopCancelHook() && e.bodyComplete && !e.response.Close
 	if reusable {
 		select {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -518,3 +518,42 @@
 		close(release)
 	}
 }
+
+// Guards against a target that was killed during its only answer and started again at once at
+// its address, and against a complete answer that is refused because the target closed an idle
+// connection long before its end.
+func TestWitnessOfTheOnlyAnswer(t *testing.T) {
+	for _, killed := range []bool{true, false} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			witness, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			witness.Close()
+			if !killed {
+				time.Sleep(200 * time.Millisecond)
+			}
+			conn.Close()
+			// The listener stands for that of the new process.
+			if next, err := listener.Accept(); err == nil {
+				defer next.Close()
+				time.Sleep(time.Second)
+			}
+		}()
+		_, err = sendAndRead(t, NewPool(Options{}), &Call{Address: listener.Addr().String(), Method: "POST", URI: "/", Host: "h.example"})
+		if killed {
+			assert.ErrorIs(t, err, ErrUnconfirmedEnd)
+		} else {
+			assert.NilError(t, err)
+		}
+		listener.Close()
+	}
+}
