--- a/liveness/liveness.go
+++ b/liveness/liveness.go
@@ -45,9 +45,12 @@
 	return check(ctx, dialer, address, 0)
 }
 
-// check is Check after a number of connections that were reset.
+// errConnectionEnded means that the process ended a connection that was just opened.
+var errConnectionEnded = errors.New("a new connection was ended at once")
+
+// check is Check after a number of new connections that the process has ended.
 func check(ctx context.Context, dialer Dialer, address string, resets int) (net.Conn, error) {
-	var lastErr error
+	lastErr := errConnectionEnded
 	for range maxDials {
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		switch {
