--- a/review/stand2/crash.go
+++ b/review/stand2/crash.go
@@ -169,20 +169,17 @@
 // stream sends a request to a daemon and reads the stream. It returns the status, 0 without an
 // answer, and whether the stream was whole.
 func stream(daemon, path, id, parts string, tokens int) (status int, whole bool) {
-	r, _ := http.NewRequest(http.MethodPost, "http://"+daemon+path, strings.NewReader("prompt of "+id))
-	r.Host = "ficu95.example"
-	r.Header.Set("X-Attempt-Id", id)
-	r.Header.Set("X-Api-Key", apiKey)
-	r.Header.Set("X-Deadline-Ms", "12000")
-	r.Header.Set("X-Model", "m")
-	r.Header.Set("X-Token-Usage", fmt.Sprintf("%d,72", tokens))
-	r.Header.Set("X-Prompt-Prefix", parts)
-	answer, err := streamClient.Do(r)
+	status, events := streamOf(daemon, path, id, parts, tokens)
+	return status, events == streamEvents
+}
+
+// streamOf is stream and returns the number of events of a stream that ended as complete, or -1.
+func streamOf(daemon, path, id, parts string, tokens int) (status, events int) {
+	answer, err := streamClient.Do(streamRequest(daemon, path, id, parts, tokens))
 	if err != nil {
-		return 0, false
+		return 0, -1
 	}
 	defer answer.Body.Close()
-	events := 0
 	lines := bufio.NewReader(answer.Body)
 	for {
 		line, err := lines.ReadString('\n')
@@ -190,12 +187,25 @@
 			events++
 		}
 		if err == io.EOF {
-			return answer.StatusCode, events == streamEvents
+			return answer.StatusCode, events
 		}
 		if err != nil {
-			return answer.StatusCode, false
+			return answer.StatusCode, -1
 		}
 	}
 }
 
+// streamRequest returns the request for a stream.
+func streamRequest(daemon, path, id, parts string, tokens int) *http.Request {
+	r, _ := http.NewRequest(http.MethodPost, "http://"+daemon+path, strings.NewReader("prompt of "+id))
+	r.Host = "ficu95.example"
+	r.Header.Set("X-Attempt-Id", id)
+	r.Header.Set("X-Api-Key", apiKey)
+	r.Header.Set("X-Deadline-Ms", "12000")
+	r.Header.Set("X-Model", "m")
+	r.Header.Set("X-Token-Usage", fmt.Sprintf("%d,72", tokens))
+	r.Header.Set("X-Prompt-Prefix", parts)
+	return r
+}
+
 var streamClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50}, Timeout: 14 * time.Second}
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -17,6 +17,9 @@
 func freeAddress() string {
 	for range 1000 {
 		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		if _, given := givenAddresses.LoadOrStore(address, true); given {
+			continue
+		}
 		if l, err := net.Listen("tcp", address); err == nil {
 			l.Close()
 			return address
@@ -26,6 +29,9 @@
 	return ""
 }
 
+// givenAddresses are those that freeAddress has returned.
+var givenAddresses sync.Map
+
 // daemon is one process of marjoramd.
 type daemon struct {
 	name, zone                    string
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -15,6 +15,9 @@
 	cases := map[string]func(*record) bool{
 		"rollout-under-load": rolloutUnderLoad,
 		"rollout-again":      rolloutAgain,
+		"garbled-length":     garbledLength,
+		"garbled-id":         garbledID,
+		"resume-running":     resumeWhileRunning,
 		// The crashing part is the second of two shared ones, or the 37th of 40.
 		"part-after-events": partCrash(2, 1, 2),
 		"part-of-many":      partCrash(40, 36, 0),
