review: case 7, an event with a wrong id is left out of a whole answer

Cause: an event whose number is not above the last one is skipped in silence, also in the first run of a stream.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 # leaves out the disruption.
 cd "$(dirname "$0")"
 [ -x ../../target/marjoramd ] && [ -x ../../target/review-stand2 ] || exit 2
-REVIEW_ROOT=../.. exec ../../target/review-stand2 rollout-again record.txt
+REVIEW_ROOT=../.. exec ../../target/review-stand2 garbled-id record.txt
