--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -26,6 +28,11 @@
 	if run == nil {
 		cannotRun("no case %q", os.Args[1])
 	}
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		cannotRun("ended by signal %v", <-ends)
+	}()
 	rec := newRecord(os.Args[2])
 	if run(rec) {
 		rec.log("the rule held")
