--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -19,6 +19,7 @@
 		"rollout-again":      rolloutAgain,
 		"garbled-length":     garbledLength,
 		"garbled-id":         garbledID,
+		"order-back":         orderBack,
 		"resume-running":     resumeWhileRunning,
 		// The crashing part is the second of two shared ones, or the 37th of 40.
 		"part-after-events": partCrash(2, 1, 2),
--- a/review/stand2/rollout.go
+++ b/review/stand2/rollout.go
@@ -326,3 +326,26 @@
 	stopClients()
 	return r.judge("v2")
 }
+
+// orderBack orders a version that fails 3 of 10 requests and, three seconds later, the version
+// that serves, as an operator does who wants the first order undone.
+func orderBack(rec *record) bool {
+	r := newRollouts(rec, true)
+	defer r.stop()
+	r.isBad["v2"] = func(int) bool { return rand.Float64() < 0.3 }
+	r.startServers("v1")
+	r.startDaemons(6)
+	r.awaitReady()
+	stopClients := r.startClients()
+	time.Sleep(6 * time.Second)
+	r.startServers("v2")
+	time.Sleep(time.Second)
+	r.order("v2")
+	time.Sleep(3 * time.Second)
+	if trouble() {
+		r.order("v1")
+	}
+	time.Sleep(14 * time.Second)
+	stopClients()
+	return r.judge("v2")
+}
