entry: break a stream off at an event with a wrong number

Cause: sendEvent dropped each event whose number was not above the last one as one that the caller has, also inside the answer that had sent the higher number. Evidence: with one answer of events 1 to 11 and 2 the run ended without an error (TestEventWithAWrongNumberBreaksTheStream failed before); with a first event numbered 91 all others were dropped.

Change: eventSequence checks the numbers of each answer by themselves. Only events before the place where the caller stands are dropped, in order; an answer that ends among them is incomplete. After a wrong number the stream goes on at another target behind the last good event, or breaks off, also when the number of the first event is in doubt.

--- /dev/null
+++ b/entry/event_sequence.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"errors"
+
+	"github.com/marjoramflow/marjoramflow/eventstream"
+)
+
+var (
+	errEventGap     = errors.New("events of the stream are missing")
+	errEventOrder   = errors.New("the numbers of the events do not rise by one")
+	errReplayEnded  = errors.New("the stream ended before the last event that the caller has")
+	errNotContinued = errors.New("the target did not continue the stream")
+)
+
+// eventSequence checks the numbers of the events in one answer: each follows the one before
+// it, and the first follows the last event that the caller had when the answer began. A
+// target that continues a stream may repeat events that the caller has. It is not safe for
+// concurrent use.
+type eventSequence struct {
+	// delivered is the last event that the caller had when the answer began, or NoEvent.
+	delivered int64
+	// previous is the last event of the answer, or NoEvent.
+	previous int64
+	// count is the number of numbered events in the answer.
+	count int
+}
+
+func newEventSequence(delivered int64) *eventSequence {
+	return &eventSequence{delivered: delivered, previous: NoEvent}
+}
+
+// accept records a numbered event and reports whether it repeats one that the caller has. The
+// error is errEventOrder or errEventGap if the event does not belong at this place.
+func (s *eventSequence) accept(event eventstream.Event) (repeated bool, err error) {
+	if s.previous != NoEvent && event.ID != s.previous+1 {
+		return false, errEventOrder
+	}
+	if s.previous == NoEvent && s.delivered != NoEvent && event.ID > s.delivered && event.ID != s.delivered+1 {
+		return false, errEventGap
+	}
+	s.previous = event.ID
+	s.count++
+	return s.delivered != NoEvent && event.ID <= s.delivered, nil
+}
+
+// end returns errReplayEnded if the answer ended while it repeated events. A wrong number
+// makes a new event look like a repeated one.
+func (s *eventSequence) end() error {
+	if s.previous != NoEvent && s.previous < s.delivered {
+		return errReplayEnded
+	}
+	return nil
+}
+
+// startUnknown reports whether nothing confirms the number of the first event: the caller had
+// none before it, and no second event followed.
+func (s *eventSequence) startUnknown() bool {
+	return s.delivered == NoEvent && s.count == 1
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -43,6 +43,9 @@
 	lastEvent     int64
 	eventsSent    int
 	answerStarted bool
+	// positionUnknown is set if lastEvent may be wrong, so that no target can continue the
+	// stream.
+	positionUnknown bool
 	// startedIn is the number of the attempt that began the stream that the caller gets.
 	startedIn int
 	// buffered is the last complete answer of a target that ran the request; bufferMemory
@@ -346,7 +349,7 @@
 	a.Number = f.attempts
 	a.EarlierMayHaveRun = f.mayHaveRun
 	a.Idempotent = f.request.Ingress.Repeat == object.RepeatSafe
-	a.Resumable = f.request.Ingress.Repeat == object.RepeatResume
+	a.Resumable = f.request.Ingress.Repeat == object.RepeatResume && !f.positionUnknown
 	a.Tokens = f.eventsSent
 	a.Remaining = time.Until(f.request.Deadline)
 	return a
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -14,8 +14,6 @@
 var (
 	errTargetRefused = errors.New("the target did not run the request")
 	errTargetFailed  = errors.New("the target answered with a failure")
-	errNotContinued  = errors.New("the target did not continue the stream")
-	errEventGap      = errors.New("events of the stream are missing")
 	errEmptyStream   = errors.New("the stream ended with its connection before the first event")
 	errNoEvents      = errors.New("the stream carries bytes without a numbered event")
 )
@@ -25,6 +23,7 @@
 	memory := f.runner.AnswerMemory.NewAllocation()
 	defer memory.Release()
 	events := eventstream.NewReader(reply.Body, memory.Grow)
+	sequence := newEventSequence(f.lastEvent)
 	unnumbered, received := 0, 0
 	reply.Body.SetReadDeadline(f.firstByteBy(started))
 	for {
@@ -33,7 +32,10 @@
 			return attemptError(attempt.Cut, target, reply.Status, errEmptyStream)
 		}
 		if err == io.EOF {
-			return f.endStream(reply)
+			err = sequence.end()
+			if err == nil {
+				return f.endStream(reply)
+			}
 		}
 		if err != nil {
 			return attemptError(readFailureKind(context.Background(), err), target, reply.Status, err)
@@ -45,7 +47,7 @@
 			report.FirstToken = time.Since(started)
 			unresponsiveTimer.Stop()
 		}
-		if err := f.sendEvent(reply, target, event); err != nil {
+		if err := f.sendEvent(reply, target, sequence, event); err != nil {
 			return err
 		}
 		if received++; received == answeredEvents {
@@ -79,17 +81,19 @@
 	return nil
 }
 
-// sendEvent sends one event to the caller. Numbered events that the caller already has are
-// skipped. An event whose number does not directly follow the last one is an error, since a
-// resumed stream must continue without a gap. So is an event without a number, other than a
-// comment, of a target that continues a stream: it does not show that it belongs there.
-func (f *forwardRun) sendEvent(reply *Reply, target string, event eventstream.Event) error {
-	if event.HasID && f.lastEvent != NoEvent {
-		if event.ID <= f.lastEvent {
-			return nil
+// sendEvent sends one event to the caller, unless the caller already has it. An event whose
+// number does not follow that of the one before it is an error, since it shows that an event
+// is missing or that a number is wrong. So is an event without a number, other than a comment,
+// of a target that continues a stream: it does not show that it belongs there.
+func (f *forwardRun) sendEvent(reply *Reply, target string, sequence *eventSequence, event eventstream.Event) error {
+	if event.HasID {
+		repeated, err := sequence.accept(event)
+		if err != nil {
+			f.positionUnknown = sequence.startUnknown()
+			return attemptError(attempt.Cut, target, reply.Status, err)
 		}
-		if event.ID > f.lastEvent+1 {
-			return attemptError(attempt.Cut, target, reply.Status, errEventGap)
+		if repeated {
+			return nil
 		}
 	}
 	if !event.HasID && !event.Comment && f.continues() {
--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -27,7 +27,7 @@
 	// Raw holds the bytes of the event as received. It is valid until the next call of
 	// Next.
 	Raw []byte
-	// ID is the numeric id of the event. HasID is false if the event has no numeric id.
+	// ID is the numeric id of the event, zero or more. HasID is false if the event has none.
 	ID    int64
 	HasID bool
 	// Comment is true if the event holds nothing but comments.
@@ -86,8 +86,8 @@
 		}
 		event.Comment = event.Comment && text[0] == ':'
 		if id, found := bytes.CutPrefix(text, []byte("id:")); found {
-			number, parseErr := strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64)
-			event.ID, event.HasID = number, parseErr == nil
+			number, parseErr := strconv.ParseUint(string(bytes.TrimSpace(id)), 10, 63)
+			event.ID, event.HasID = int64(number), parseErr == nil
 		}
 	}
 }
