engine: break a stream off at a token with a wrong index

The same cause as in package entry, on the path of model engines: a token with a lower index was dropped as a repeated one, so that a last token with a wrong index was missing from a complete answer where the frame with the finish reason has no index.

Change: inside a stream a token may be the same as the one before it or the next one; only tokens before ResumeFrom, in order, and the same token again are dropped. The row "wrong index" of TestStreams failed before.

--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -41,6 +41,7 @@
 		{"another attempt", 0, tokenFrame("a.1", 0) + tokenFrame("a.0", 0) + tokenFrame("b.0", 1) + tokenFrame("a.0", 1) + lastFrame + endMarker, nil, 2, 2, 0},
 		{"repeated", 0, tokenFrame("a.0", 0) + tokenFrame("a.0", 0) + tokenFrame("a.0", 1) + lastFrame + endMarker, nil, 2, 0, 0},
 		{"skipped", 0, tokenFrame("a.0", 0) + tokenFrame("a.0", 2), nil, 1, 0, attempt.Cut},
+		{"wrong index", 0, tokenFrame("a.0", 0) + tokenFrame("a.0", 1) + tokenFrame("a.0", 0) + "data: {\"id\":\"a.0\",\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n" + endMarker, nil, 2, 0, attempt.Cut},
 		{"cut", 0, tokenFrame("a.0", 0), func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 1, 0, attempt.Cut},
 		{"ended early", 0, tokenFrame("a.0", 0), nil, 1, 0, attempt.Cut},
 		{"early end marker", 0, tokenFrame("a.0", 0) + endMarker, nil, 1, 0, attempt.Cut},
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -73,21 +73,25 @@
 
 // Stream is the streamed answer to one attempt. It is not safe for concurrent use.
 type Stream struct {
-	ctx              context.Context
-	cancel           context.CancelCauseFunc
-	watchdog         *time.Timer
-	client           *Client
-	call             *Call
-	resp             *http.Response
-	scanner          *bufio.Scanner
-	nextToken        int
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	watchdog  *time.Timer
+	client    *Client
+	call      *Call
+	resp      *http.Response
+	scanner   *bufio.Scanner
+	nextToken int
+	// lastIndex is the index of the last frame, or noIndex before the first one.
+	lastIndex        int
 	finishReasonSeen bool
 }
 
+const noIndex = -1
+
 func newStream(ctx context.Context, cancel context.CancelCauseFunc, watchdog *time.Timer, c *Client, call *Call, resp *http.Response) *Stream {
 	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(make([]byte, 0, readBufferBytes), maxFrameBytes)
-	return &Stream{ctx: ctx, cancel: cancel, watchdog: watchdog, client: c, call: call, resp: resp, scanner: scanner, nextToken: call.ResumeFrom}
+	return &Stream{ctx: ctx, cancel: cancel, watchdog: watchdog, client: c, call: call, resp: resp, scanner: scanner, nextToken: call.ResumeFrom, lastIndex: noIndex}
 }
 
 // Next returns the next frame, or nil, nil after the end marker. The error is an
@@ -120,7 +124,8 @@
 }
 
 // acceptFrame decodes one frame and checks its attempt id and token index. It returns
-// nil, nil for a frame of another attempt or a repeated token.
+// nil, nil for a frame of another attempt, for the same token again, and for tokens before
+// ResumeFrom. Any other index is an error: a token whose index is wrong must not be dropped.
 func (s *Stream) acceptFrame(data []byte) (*Frame, error) {
 	var wire wireFrame
 	if err := json.Unmarshal(data, &wire); err != nil {
@@ -134,6 +139,10 @@
 	if wire.TokenIndex != nil {
 		index = *wire.TokenIndex
 	}
+	if s.lastIndex != noIndex && index != s.lastIndex && index != s.lastIndex+1 {
+		return nil, s.streamError(fmt.Errorf("received token %d after token %d", index, s.lastIndex))
+	}
+	s.lastIndex = index
 	if index < s.nextToken {
 		return nil, nil
 	}
