rollout: complete a version only after evidence from full share

Cause: the soak at full share took 0.5 s, and evidence takes up to 0.5 s to the aggregator and 0.5 s more to the holder, which then decided on evidence from before the step.

Change: evidence is sent every 50 ms while a move soaks, and judged when it arrives. An order's move soaks for 0.95 s, or a twentieth of its time; no move is done before MinimumSoak. The holder wakes at the end of a step and not up to 250 ms later, which had shortened the soak. A request that failed on a version on trial is retried on the old one: in the soak each failure had brought the version another request. A cut that crosses with the end of the move is reported as rolled back, unless the operator was told otherwise.

entry: the number of a first event is in doubt only if the second one is lower, so that a gap behind the first event is resumed as before (TestEndlessBytesEndTheAttempt, which broke).

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -35,8 +35,16 @@
 // tenth of the requests by then.
 const canarySharePercent = 5
 
-// moveSoakTime is the time at full share after which a move is done.
-const moveSoakTime = 500 * time.Millisecond
+// minMoveSoak is the least time at full share after which a move is done. It covers answers of
+// usual length and the way of their evidence.
+const minMoveSoak = 950 * time.Millisecond
+
+// soakTime returns the time at full share after which the move is done. A fault that shows at
+// its end must not have affected more than a tenth of the requests, together with
+// canarySharePercent before it.
+func (m *Move) soakTime() time.Duration {
+	return max(minMoveSoak, m.MaxDuration*canarySharePercent/100)
+}
 
 // MoveName returns the name of the move of an order. It contains the version and the revision,
 // so that each order is a move of its own, also one for a version that was ordered before.
@@ -58,7 +66,7 @@
 		To:       CanaryVersion(m.Service),
 		Deadline: m.Deadline,
 		Steps:    []float64{canarySharePercent, 100},
-		Soak:     moveSoakTime,
+		Soak:     m.soakTime(),
 	}
 }
 
--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -21,8 +21,8 @@
 
 // Pick implements entry.VersionPicker. Without shares it returns the version that the
 // service is configured with.
-func (v versionPicker) Pick(service *object.Service) string {
-	if version := v.trafficSplit.Pick(service.Name, rand.Uint64()); version != "" {
+func (v versionPicker) Pick(service *object.Service, failed string) string {
+	if version := v.trafficSplit.PickRetry(service.Name, failed, rand.Uint64()); version != "" {
 		return version
 	}
 	return service.Version
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -24,6 +24,7 @@
 	options.DoneLead = 400 * time.Millisecond
 	options.WriteAllowance = 300 * time.Millisecond
 	options.TakeoverAllowance = 300 * time.Millisecond
+	options.MinimumSoak = 700 * time.Millisecond
 	// The move stays at its first step for as long as the deadline permits.
 	options.MinimumDwell = time.Hour
 	return &options
@@ -170,26 +171,38 @@
 	for _, status := range h.moveStatus() {
 		h.mu.Lock()
 		order, known := h.byService[status.Service]
-		reported := h.reportedPhases[status.Move] == status.Phase
+		phase := h.reportablePhaseLocked(&status)
+		reported := h.reportedPhases[status.Move] == phase
 		h.mu.Unlock()
 		// The move may still be that of an earlier order.
 		current := known && order.MoveName() == status.Move
-		if !current || reported || status.Phase == rollout.Pending || !h.isReporter(&status) {
+		if !current || reported || phase == rollout.Pending || !h.isReporter(&status) {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, tableCallTimeout)
-		err := h.writeStatus(callCtx, order, status.Phase)
+		err := h.writeStatus(callCtx, order, phase)
 		cancel()
 		if err != nil {
 			h.logger.EmitError(eventlog.PlatformUnavailable, err, nil)
 			continue
 		}
 		h.mu.Lock()
-		h.reportedPhases[status.Move] = status.Phase
+		h.reportedPhases[status.Move] = phase
 		h.mu.Unlock()
 	}
 }
 
+// reportablePhaseLocked returns the phase of a move as the operator is told it. If a cut crossed
+// with the end of a move, the old version serves, and its targets must not be stopped: the move
+// counts as reversed, unless the operator may have been told otherwise. The caller holds mu.
+func (h *orderHandler) reportablePhaseLocked(status *rollout.MoveStatus) rollout.Phase {
+	cutInTime := status.CutReason != "" && status.Holder == h.self && h.reportedPhases[status.Move] != rollout.Done
+	if status.Phase == rollout.Done && cutInTime {
+		return rollout.Reversed
+	}
+	return status.Phase
+}
+
 // isReporter reports whether this daemon tells the operator the phase of a move: while the
 // move goes on, the holder of its lease; once it has ended, the daemon that recorded the end,
 // which may have released the lease since, or another live one in its place.
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -87,7 +87,7 @@
 		return quarantinedRefusal()
 	}
 	runner.RetryPolicy.CountRequest(request.Service.Name)
-	c := &chatRun{runner: runner, request: request, runID: runner.newRunID(), sink: sink, suspect: suspect, version: runner.VersionPicker.Pick(request.Service)}
+	c := &chatRun{runner: runner, request: request, runID: runner.newRunID(), sink: sink, suspect: suspect, version: runner.VersionPicker.Pick(request.Service, "")}
 	return c.runToEnd(ctx)
 }
 
@@ -365,7 +365,7 @@
 		c.excludedTargets = append(c.excludedTargets, name)
 	}
 	if c.nextToken == 0 {
-		c.version = c.runner.VersionPicker.Pick(service)
+		c.version = c.runner.VersionPicker.Pick(service, c.version)
 	}
 	c.runner.Sleep(ctx, action.Delay)
 	targetLost := c.lostTargets.record(err)
--- a/entry/event_sequence.go
+++ b/entry/event_sequence.go
@@ -22,8 +22,8 @@
 	delivered int64
 	// previous is the last event of the answer, or NoEvent.
 	previous int64
-	// count is the number of numbered events in the answer.
-	count int
+	// first is the first event of the answer, if previous is not NoEvent.
+	first int64
 }
 
 func newEventSequence(delivered int64) *eventSequence {
@@ -39,8 +39,10 @@
 	if s.previous == NoEvent && s.delivered != NoEvent && event.ID > s.delivered && event.ID != s.delivered+1 {
 		return false, errEventGap
 	}
+	if s.previous == NoEvent {
+		s.first = event.ID
+	}
 	s.previous = event.ID
-	s.count++
 	return s.delivered != NoEvent && event.ID <= s.delivered, nil
 }
 
@@ -53,8 +55,9 @@
 	return nil
 }
 
-// startUnknown reports whether nothing confirms the number of the first event: the caller had
-// none before it, and no second event followed.
-func (s *eventSequence) startUnknown() bool {
-	return s.delivered == NoEvent && s.count == 1
+// startUnknown reports whether the number of the first event may be too high, given an event
+// that accept has refused: the caller had none before the first, and the refused one, which is
+// the second, has a lower number.
+func (s *eventSequence) startUnknown(refused eventstream.Event) bool {
+	return s.delivered == NoEvent && s.previous == s.first && refused.ID <= s.first
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -79,7 +79,7 @@
 		runID:        runner.newRunID(),
 		suspect:      suspect,
 		lastEvent:    request.ResumeAfter,
-		version:      runner.VersionPicker.Pick(request.Service),
+		version:      runner.VersionPicker.Pick(request.Service, ""),
 		bufferMemory: runner.AnswerMemory.NewAllocation(),
 	}
 	defer func() { f.bufferMemory.Release() }()
@@ -340,7 +340,7 @@
 		refusal.Outcome = f.outcome()
 		return false, refusal
 	}
-	f.version = f.runner.VersionPicker.Pick(f.request.Service)
+	f.version = f.runner.VersionPicker.Pick(f.request.Service, f.version)
 	return true, nil
 }
 
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -89,7 +89,7 @@
 	if event.HasID {
 		repeated, err := sequence.accept(event)
 		if err != nil {
-			f.positionUnknown = sequence.startUnknown()
+			f.positionUnknown = sequence.startUnknown(event)
 			return attemptError(attempt.Cut, target, reply.Status, err)
 		}
 		if repeated {
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -134,7 +134,7 @@
 
 type fixedVersion struct{}
 
-func (fixedVersion) Pick(*object.Service) string { return "v" }
+func (fixedVersion) Pick(*object.Service, string) string { return "v" }
 
 type noObserver struct{}
 
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -203,7 +203,7 @@
 // dispatch reserves a target and sends the call once.
 func (p *plainRun) dispatch(ctx context.Context) (*plainservice.Answer, error) {
 	if p.version == "" || p.request.Route.Idempotent {
-		p.version = p.runner.VersionPicker.Pick(p.request.Service)
+		p.version = p.runner.VersionPicker.Pick(p.request.Service, p.version)
 	}
 	grant, err := p.runner.Grants.Reserve(ctx, p.grantRequest())
 	if err != nil {
--- a/entry/plain_test.go
+++ b/entry/plain_test.go
@@ -58,7 +58,7 @@
 type stubs struct{}
 
 func (stubs) ObserveAttempt(Observation)               {}
-func (stubs) Pick(*object.Service) string              { return "v1" }
+func (stubs) Pick(*object.Service, string) string      { return "v1" }
 func (stubs) StateOf(uint64) quarantine.State          { return quarantine.Clear }
 func (stubs) RequestFinished(uint64)                   {}
 func (stubs) sleep(_ context.Context, d time.Duration) { time.Sleep(d) }
--- a/entry/ports.go
+++ b/entry/ports.go
@@ -131,7 +131,9 @@
 
 // VersionPicker chooses the version of a request by the shares of the moves in force.
 type VersionPicker interface {
-	Pick(service *object.Service) string
+	// Pick returns the version for an attempt. failed is the version of the attempt before, or
+	// empty for the first one.
+	Pick(service *object.Service, failed string) string
 }
 
 // Observer receives finished attempts, as evidence for moves, ejection and metrics.
--- a/internal/moves/manager.go
+++ b/internal/moves/manager.go
@@ -14,7 +14,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marjoramflow/marjoramflow/eventlog"
-	"github.com/marjoramflow/marjoramflow/internal/ctxtime"
 	"github.com/marjoramflow/marjoramflow/object"
 	"github.com/marjoramflow/marjoramflow/peer/peerpb"
 	"github.com/marjoramflow/marjoramflow/provider"
@@ -22,9 +21,14 @@
 	"github.com/marjoramflow/marjoramflow/rollout"
 )
 
-// evidenceInterval is the time between two evidence messages. Evidence takes two hops,
-// and a bad version has to be at zero share within 2 s of the evidence against it.
-const evidenceInterval = 500 * time.Millisecond
+const (
+	// evidenceInterval is the time between two evidence messages. Evidence takes two hops,
+	// and a bad version has to be at zero share within 2 s of the evidence against it.
+	evidenceInterval = 500 * time.Millisecond
+	// soakEvidenceInterval replaces evidenceInterval while a version gets all requests of its
+	// service. A fault that shows only then harms every caller until it is known.
+	soakEvidenceInterval = 50 * time.Millisecond
+)
 
 // Config holds the dependencies of a Manager. All but Options are required.
 type Config struct {
@@ -60,11 +64,13 @@
 	controller *rollout.Controller
 	collector  *rollout.Collector
 	aggregator *rollout.Aggregator
+	// rowChanged holds at most one wake-up of the loop that forwards evidence.
+	rowChanged chan struct{}
 }
 
 // New returns a Manager without a configuration; SetConfig provides one.
 func New(config Config) *Manager {
-	m := &Manager{Config: config}
+	m := &Manager{Config: config, rowChanged: make(chan struct{}, 1)}
 	origin := fmt.Sprintf("%s@%d", config.Self, config.Incarnation)
 	m.collector = rollout.NewCollector(config.TrafficSplit, origin)
 	m.aggregator = rollout.NewAggregator(rollout.AggregatorConfig{
@@ -122,12 +128,35 @@
 		m.controller.Run(ctx)
 		return nil
 	})
-	group.Go(func() error {
-		return ctxtime.RunEvery(ctx, evidenceInterval, func(time.Time) { m.forwardEvidence() })
-	})
+	group.Go(func() error { return m.forwardAllEvidence(ctx) })
 	return group.Wait()
 }
 
+// forwardAllEvidence forwards evidence until the context ends: in the interval that the phases
+// of the moves call for, and when a phase changes. It returns nil.
+func (m *Manager) forwardAllEvidence(ctx context.Context) error {
+	timer := time.NewTimer(evidenceInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.rowChanged:
+		case <-timer.C:
+		}
+		m.forwardEvidence()
+		timer.Reset(m.evidencePause())
+	}
+}
+
+// evidencePause returns the time until evidence is forwarded next.
+func (m *Manager) evidencePause() time.Duration {
+	if m.TrafficSplit.Soaking() {
+		return soakEvidenceInterval
+	}
+	return evidenceInterval
+}
+
 // forwardEvidence sends the evidence of this daemon's collector to the daemon that
 // aggregates it for the data centre, and the evidence of this daemon's aggregator to
 // the holders of the moves. It applies the cuts that the aggregator decides.
@@ -183,12 +212,17 @@
 func (m *Manager) onRow(state *peerpb.MoveState, envelope *peerpb.Envelope) {
 	fresh, err := m.TrafficSplit.ApplyRow(state.Move, state.Sequence, state.Row)
 	if err == nil && fresh {
-		m.logRow(state.Move)
+		m.noteRow(state.Move)
 		m.Broadcast(envelope)
 	}
 }
 
-func (m *Manager) logRow(move string) {
+// noteRow logs a new row of a move and wakes the loop that forwards evidence.
+func (m *Manager) noteRow(move string) {
+	select {
+	case m.rowChanged <- struct{}{}:
+	default:
+	}
 	row, _, ok := m.TrafficSplit.Row(move)
 	if !ok {
 		return
@@ -232,7 +266,7 @@
 
 // NotifyRow implements rollout.Notifier.
 func (n notifier) NotifyRow(move string, sequence uint64, row []byte) {
-	n.manager.logRow(move)
+	n.manager.noteRow(move)
 	n.manager.Broadcast(rowMessage(move, sequence, row))
 }
 
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -205,8 +205,8 @@
 }
 
 // AddEvidence merges evidence for moves whose lease this daemon holds or held last;
-// other evidence is dropped. While Run waits for the store, AddEvidence itself
-// evaluates the evidence and cuts a bad version.
+// other evidence is dropped. AddEvidence itself evaluates the evidence and cuts a bad
+// version, unless a decision was made just before.
 func (c *Controller) AddEvidence(e *Evidence) {
 	for _, cut := range c.addEvidence(e) {
 		c.Cut(cut.Move, cut.Attempt, cut.Reason)
@@ -220,7 +220,7 @@
 	for _, sc := range c.services {
 		if m := sc.moves[e.Move]; m != nil {
 			sc.addEvidence(m, e)
-			cuts = append(cuts, sc.cutsWhileBlocked(m)...)
+			cuts = append(cuts, sc.cutsOnEvidence(m)...)
 		}
 	}
 	return cuts
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -57,9 +57,9 @@
 	case v.Suspicious:
 		return waitBecause("the evidence leans against the new version")
 	case elapsed < min(m.Options.MinimumDwell, limit):
-		return waitBecause("the step has just begun")
+		return waitUntil(in, in.StepSince.Add(min(m.Options.MinimumDwell, limit)), "the step has just begun")
 	case !v.Good && elapsed < limit:
-		return waitBecause("there is not enough evidence for the next step")
+		return waitUntil(in, in.StepSince.Add(limit), "there is not enough evidence for the next step")
 	}
 	return m.enterStep(in, steps, in.Row.Step+1)
 }
@@ -73,15 +73,19 @@
 }
 
 // finishSoak records done after the soak unless the evidence is suspicious. If a
-// takeover has cost time, the soak is shortened rather than missing the deadline.
+// takeover has cost time, the soak is shortened rather than missing the deadline, but not
+// below MinimumSoak.
 func (m *StateMachine) finishSoak(in *Input, v Verdict) []Action {
 	end := in.StepSince.Add(m.soakTime(in))
 	latestEnd := m.latestDoneWrite(in.Row).Add(-m.Options.WriteAllowance)
 	if latestEnd.Before(end) {
 		end = latestEnd
 	}
+	if earliestEnd := in.StepSince.Add(m.Options.MinimumSoak); end.Before(earliestEnd) {
+		end = earliestEnd
+	}
 	if in.Now.Before(end) {
-		return waitBecause("the new version soaks at full share")
+		return waitUntil(in, end, "the new version soaks at full share")
 	}
 	if v.Suspicious {
 		return waitBecause("the evidence leans against the new version")
--- a/rollout/service_controller.go
+++ b/rollout/service_controller.go
@@ -114,11 +114,15 @@
 	m.tally.Merge(s.controller.config.Now(), e)
 }
 
-// cutsWhileBlocked returns the cuts that new evidence requires while Run is blocked by
-// a call to the store. It returns none if the policy has decided on the move in the
-// last 2*decisionInterval: Run is not blocked then. The caller holds the mutex.
-func (s *serviceController) cutsWhileBlocked(m *moveState) []CutShare {
-	if m.tally == nil || s.controller.config.Now().Sub(m.lastDecision) < 2*decisionInterval {
+// minEvaluationPause is the least time between a decision and the evaluation of evidence that
+// arrives after it. It bounds the cost of the evaluation where many aggregators send evidence.
+const minEvaluationPause = 50 * time.Millisecond
+
+// cutsOnEvidence returns the cuts that new evidence requires, so that a cut waits neither for
+// the next decision nor for a call to the store that blocks Run. It returns none if the policy
+// has decided on the move in the last minEvaluationPause. The caller holds the mutex.
+func (s *serviceController) cutsOnEvidence(m *moveState) []CutShare {
+	if m.tally == nil || s.controller.config.Now().Sub(m.lastDecision) < minEvaluationPause {
 		return nil
 	}
 	var out []CutShare
--- a/rollout/shares.go
+++ b/rollout/shares.go
@@ -40,6 +40,8 @@
 type plan struct {
 	services map[string]servicePlan
 	active   map[string][]ActiveMove
+	// soaking is set if a version gets all requests of its service, on trial.
+	soaking bool
 }
 
 // servicePlan holds the base version of a service and its moves by deadline.
@@ -86,6 +88,13 @@
 // Pick returns the version for one request of the service, or "" when the service is
 // not known. random must be uniformly distributed over all 64-bit numbers.
 func (s *TrafficSplit) Pick(service string, random uint64) string {
+	return s.PickRetry(service, "", random)
+}
+
+// PickRetry is Pick for a request that failed on a version. It does not return a version that
+// is on trial if the request failed on it: the old version still serves, and a second attempt
+// would expose the request to the same fault.
+func (s *TrafficSplit) PickRetry(service, failed string, random uint64) string {
 	p, ok := s.plan.Load().services[service]
 	if !ok {
 		return ""
@@ -93,6 +102,9 @@
 	version := p.base
 	for i := range p.moves {
 		m := &p.moves[i]
+		if m.to == failed && !m.done {
+			continue
+		}
 		if m.from == version && m.selectsNew(random, s.now) {
 			version = m.to
 		}
@@ -215,6 +227,11 @@
 	return s.plan.Load().active[service]
 }
 
+// Soaking reports whether an attempt in progress is in the phase Soaking. It takes no lock.
+func (s *TrafficSplit) Soaking() bool {
+	return s.plan.Load().soaking
+}
+
 // rebuild replaces the plan by one computed from the configuration, rows and cuts. The
 // caller holds mu.
 func (s *TrafficSplit) rebuild() {
@@ -260,6 +277,7 @@
 		from: m.From, to: m.To, done: row.Phase == Done, share: row.Share, deadline: row.Deadline,
 	})
 	next.services[m.Service] = p
+	next.soaking = next.soaking || row.Phase == Soaking
 	if !row.Phase.Final() {
 		next.active[m.Service] = append(next.active[m.Service], ActiveMove{
 			Move: m.Name, Service: m.Service, From: m.From, To: m.To,
--- a/rollout/shares_test.go
+++ b/rollout/shares_test.go
@@ -48,6 +48,19 @@
 	return fresh
 }
 
+// Guards against a request that failed on a version on trial and is sent to it again, although
+// the old version still serves.
+func TestRetryAvoidsAVersionOnTrial(t *testing.T) {
+	s := NewTrafficSplitWithClock(func() time.Time { return startTime })
+	s.SetConfig(testSet())
+	applyTestRow(t, s, 1, testRow(Soaking, FullShare))
+	assert.Equal(t, s.PickRetry("s", "", 0), "v2")
+	assert.Equal(t, s.PickRetry("s", "v1", 0), "v2")
+	assert.Equal(t, s.PickRetry("s", "v2", 0), "v1")
+	applyTestRow(t, s, 2, testRow(Done, FullShare))
+	assert.Equal(t, s.PickRetry("s", "v2", 0), "v2", "the old version does not serve any more")
+}
+
 // Guards against a share that differs from the newest row, that an older row raises,
 // or that outlasts a cut or the deadline.
 func TestShares(t *testing.T) {
--- a/rollout/state_machine.go
+++ b/rollout/state_machine.go
@@ -21,6 +21,10 @@
 	// Soak is the soak time of moves that specify none; short moves soak at most a
 	// fifth of their time.
 	Soak time.Duration
+	// MinimumSoak is the least time at full share before a move is done. It covers the time
+	// that evidence takes from the entries to the holder; with less, a fault that shows only
+	// at full share would not be seen.
+	MinimumSoak time.Duration
 	// MinimumDwell is the least time at one step. It covers the time that evidence
 	// takes from the entries to the holder.
 	MinimumDwell time.Duration
@@ -40,6 +44,7 @@
 		WriteAllowance:    3 * time.Second,
 		TakeoverAllowance: 15 * time.Second,
 		Soak:              time.Minute,
+		MinimumSoak:       time.Second,
 		MinimumDwell:      3 * time.Second,
 		LoadTimeout:       3 * time.Second,
 		LoadFraction:      0.25,
@@ -278,6 +283,12 @@
 	return []Action{Wait{For: decisionInterval, Reason: reason}}
 }
 
+// waitUntil returns a wait of at most decisionInterval that ends at the given time, which is
+// after now, so that a step with little time is not cut short by the interval.
+func waitUntil(in *Input, at time.Time, reason string) []Action {
+	return []Action{Wait{For: min(decisionInterval, at.Sub(in.Now)), Reason: reason}}
+}
+
 // enterPhase records a phase, step and share, and the targets that have not loaded the
 // new version.
 func (m *StateMachine) enterPhase(in *Input, phase Phase, step int, share uint32) []Action {
