catalog, daemon: keep versions that were taken back out of service

Cause: targets were divided by the present order alone, the ordered version as canary and all others as stable.

Change: the row of a service's newest order holds the versions that serve and those that are withdrawn. It follows from the row before and the outcome of the last move, is written once, and is read by daemons that start later. A move that goes on when its order is replaced is reversed in the same transaction. Targets of withdrawn versions get no requests until the version is ordered again; a version that serves already goes on serving while it is ordered.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -16,6 +16,9 @@
 const (
 	stableSuffix = ".stable"
 	canarySuffix = ".canary"
+	// withdrawnSuffix is that of the version that stands for all versions which earlier moves
+	// tried out and did not put into service. No request is sent to it.
+	withdrawnSuffix = ".withdrawn"
 )
 
 // StableVersion returns the name of the stable version of a service.
@@ -24,10 +27,20 @@
 // CanaryVersion returns the name of the version of a service that a move tries out.
 func CanaryVersion(service string) string { return service + canarySuffix }
 
+// WithdrawnVersion returns the name of the version of a service that gets no requests because an
+// earlier move did not put it into service.
+func WithdrawnVersion(service string) string { return service + withdrawnSuffix }
+
 // Move is an order with the deadline by which it must be completed or rolled back.
 type Move struct {
 	Order
 	Deadline time.Time
+	// Withdrawn are the versions of the software that earlier orders did not put into service.
+	// Their targets get no requests until they are ordered again.
+	Withdrawn []string
+	// Serves is set if the ordered version already serves, for example when it replaces an
+	// order that is to be undone. Its targets serve all along then.
+	Serves bool
 }
 
 // canarySharePercent is the share of requests that a new version gets until shortly before
@@ -194,7 +207,7 @@
 	for i := range set.Services {
 		service := &set.Services[i]
 		service.Version = StableVersion(service.Name)
-		for _, name := range []string{StableVersion(service.Name), CanaryVersion(service.Name)} {
+		for _, name := range s.versionNames(service.Name) {
 			version := object.Version{Name: name, Service: service.Name}
 			if service.Kind == object.ModelService {
 				version.Model = service.Name
@@ -231,7 +244,7 @@
 			Hardware: i.ID,
 			Slots:    i.Slots,
 			KVTokens: s.manifest.KVTokens[i.Service],
-			Versions: []string{s.versionName(&i)},
+			Versions: s.servedVersions(&i),
 			Leaving:  i.Draining,
 
 			StartedAt: i.StartedAt,
@@ -270,11 +283,37 @@
 	return out
 }
 
-// versionName returns the name of the version that a target belongs to, stable or canary.
-// The shares of a move decide how many requests each of the two gets.
-func (s *State) versionName(i *Instance) string {
-	if move, moving := s.moves[i.Service]; moving && i.Version == move.To {
-		return CanaryVersion(i.Service)
+// versionNames returns the names of the versions of a service.
+func (s *State) versionNames(service string) []string {
+	names := []string{StableVersion(service), CanaryVersion(service)}
+	if len(s.moves[service].Withdrawn) > 0 {
+		names = append(names, WithdrawnVersion(service))
+	}
+	return names
+}
+
+// servedVersions returns the names of the versions that a target belongs to. The shares of a
+// move decide how many requests the stable version and the canary get.
+func (s *State) servedVersions(i *Instance) []string {
+	move, moving := s.moves[i.Service]
+	switch {
+	case moving && i.Version == move.To && move.Serves:
+		return []string{StableVersion(i.Service), CanaryVersion(i.Service)}
+	case moving && i.Version == move.To:
+		return []string{CanaryVersion(i.Service)}
+	case slices.Contains(move.Withdrawn, i.Version):
+		return []string{WithdrawnVersion(i.Service)}
+	}
+	return []string{StableVersion(i.Service)}
+}
+
+// registeredVersions returns the versions of the registered targets of a service, in order.
+func (s *State) registeredVersions(service string) []string {
+	versions := make(map[string]bool)
+	for _, i := range s.instances {
+		if i.Service == service {
+			versions[i.Version] = true
+		}
 	}
-	return StableVersion(i.Service)
+	return slices.Sorted(maps.Keys(versions))
 }
--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -174,6 +174,13 @@
 	w.install()
 }
 
+// RegisteredVersions returns the versions of a service's registered targets, in order.
+func (w *Watcher) RegisteredVersions(service string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state.registeredVersions(service)
+}
+
 // run reads a snapshot of a topic and then changes. It reads a new snapshot when the source
 // no longer has the changes after the last revision.
 func (w *Watcher) run(ctx context.Context, topic Topic) error {
--- a/daemon/gateway_build.go
+++ b/daemon/gateway_build.go
@@ -196,13 +196,14 @@
 		Logger:       g.logger,
 	})
 	g.orderHandler = newOrderHandler(orderHandlerConfig{
-		self:        self,
-		table:       g.storeClient,
-		setMove:     g.watcher.SetMove,
-		moveStatus:  g.moves.Status,
-		liveAll:     g.topologies.liveAll,
-		writeStatus: g.platformStore.WriteOrderPhase,
-		logger:      g.logger,
+		self:               self,
+		table:              g.storeClient,
+		setMove:            g.watcher.SetMove,
+		registeredVersions: g.watcher.RegisteredVersions,
+		moveStatus:         g.moves.Status,
+		liveAll:            g.topologies.liveAll,
+		writeStatus:        g.platformStore.WriteOrderPhase,
+		logger:             g.logger,
 	})
 	g.owners = owners.New(owners.Config{
 		Self:             self,
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
 	"sync"
@@ -10,7 +9,6 @@
 
 	"github.com/marjoramflow/marjoramflow/catalog"
 	"github.com/marjoramflow/marjoramflow/eventlog"
-	"github.com/marjoramflow/marjoramflow/fault"
 	"github.com/marjoramflow/marjoramflow/provider"
 	"github.com/marjoramflow/marjoramflow/rendezvous"
 	"github.com/marjoramflow/marjoramflow/rollout"
@@ -48,6 +46,8 @@
 	self    string
 	table   provider.Table
 	setMove func(catalog.Move)
+	// registeredVersions returns the versions of a service's targets.
+	registeredVersions func(service string) []string
 	// moveStatus returns the state of all moves, and liveAll the live daemons.
 	moveStatus func() []rollout.MoveStatus
 	liveAll    func() []string
@@ -57,9 +57,9 @@
 }
 
 // orderHandler turns orders of the platform's operator into moves, and reports the phases of
-// the moves to the operator. The first daemon to handle an order records the deadline of the
-// move in the table, so that all daemons use the same one, also those that start later. Its
-// methods are safe for concurrent use.
+// the moves to the operator. The first daemon to handle an order records the move's deadline in
+// the table, and which versions earlier orders left withdrawn, so that all daemons use the same,
+// also those that start later. Its methods are safe for concurrent use.
 type orderHandler struct {
 	orderHandlerConfig
 
@@ -90,7 +90,7 @@
 	h.startLocked(order)
 }
 
-// startLocked determines the deadline of an order in the background. An order that equals
+// startLocked determines the move of an order in the background. An order that equals
 // the last one of its service, or is older, is ignored. The caller holds mu.
 func (h *orderHandler) startLocked(order catalog.Order) {
 	if last := h.byService[order.Service]; last == order || last.Revision > order.Revision {
@@ -98,17 +98,20 @@
 	}
 	h.byService[order.Service] = order
 	receivedAt := time.Now()
-	h.tasks.Go(func() { h.agreeDeadline(h.ctx, order, receivedAt) })
+	h.tasks.Go(func() { h.agreeMove(h.ctx, order, receivedAt) })
 }
 
-// agreeDeadline records the deadline of an order, or reads the one that another daemon
-// recorded, and sets the move. It retries until the table answers or the context ends.
-func (h *orderHandler) agreeDeadline(ctx context.Context, order catalog.Order, receivedAt time.Time) {
+// agreeMove records an order, or reads what another daemon recorded of it, and sets the move. It
+// retries until the table answers, a newer order is recorded or the context ends.
+func (h *orderHandler) agreeMove(ctx context.Context, order catalog.Order, receivedAt time.Time) {
 	for ctx.Err() == nil {
-		deadline, err := h.recordDeadline(ctx, order, receivedAt.Add(order.MaxDuration-deadlineMargin))
+		row, err := h.agreeOrder(ctx, order, receivedAt.Add(order.MaxDuration-deadlineMargin))
+		if errors.Is(err, errOrderReplaced) {
+			return
+		}
 		if err == nil {
-			h.logger.Emit(eventlog.OrderTaken, eventlog.Fields{"service": order.Service, "to": order.To, "deadline": deadline})
-			h.setMove(catalog.Move{Order: order, Deadline: deadline})
+			h.logger.Emit(eventlog.OrderTaken, eventlog.Fields{"service": order.Service, "to": order.To, "deadline": row.Deadline, "withdrawn": row.Withdrawn})
+			h.setMove(row.move(order))
 			return
 		}
 		h.logger.EmitError(eventlog.PlatformUnavailable, err, nil)
@@ -116,37 +119,6 @@
 	}
 }
 
-// orderRow is the value of an order's row in the table.
-type orderRow struct {
-	Deadline time.Time `json:"deadline"`
-}
-
-// recordDeadline records a proposed deadline unless the order has one, and returns the one
-// that is recorded.
-func (h *orderHandler) recordDeadline(ctx context.Context, order catalog.Order, proposed time.Time) (time.Time, error) {
-	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
-	defer cancel()
-	key := "orders/" + provider.KeySegment(order.MoveName())
-	value, err := json.Marshal(orderRow{Deadline: proposed.Round(0).UTC()})
-	if err != nil {
-		return time.Time{}, fault.Wrap(err, "orders.encode", key)
-	}
-	err = h.table.Commit(ctx, provider.Write{Key: key, Value: value})
-	var conflict *provider.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
-		return time.Time{}, fault.Wrap(err, "orders.record", key)
-	}
-	rows, err := h.table.Get(ctx, key)
-	if err != nil {
-		return time.Time{}, fault.Wrap(err, "orders.read", key)
-	}
-	var row orderRow
-	if err := json.Unmarshal(rows[0].Value, &row); err != nil {
-		return time.Time{}, fault.Wrap(err, "orders.decode", key)
-	}
-	return row.Deadline, nil
-}
-
 // run starts the queued orders, and reports the phases of the moves for which this daemon is
 // the reporter until the context ends. It returns nil.
 func (h *orderHandler) run(ctx context.Context) error {
--- a/daemon/orders_test.go
+++ b/daemon/orders_test.go
@@ -14,6 +14,8 @@
 	"github.com/marjoramflow/marjoramflow/rollout"
 )
 
+func noVersions(string) []string { return nil }
+
 // Guards against daemons that use different deadlines for a move because they received its
 // order at different times.
 func TestDaemonsAgreeOnTheDeadlineOfAnOrder(t *testing.T) {
@@ -22,7 +24,7 @@
 	var moves []catalog.Move
 	order := catalog.Order{Service: "s", To: "v2", MaxDuration: 12 * time.Second}
 	for range 2 {
-		h := newOrderHandler(orderHandlerConfig{table: table, logger: eventlog.Discard(), setMove: func(m catalog.Move) {
+		h := newOrderHandler(orderHandlerConfig{table: table, logger: eventlog.Discard(), registeredVersions: noVersions, setMove: func(m catalog.Move) {
 			mu.Lock()
 			defer mu.Unlock()
 			moves = append(moves, m)
@@ -74,7 +76,7 @@
 	t.Helper()
 	var reported []rollout.Phase
 	h := newOrderHandler(orderHandlerConfig{
-		self: self, table: memtable.New(), logger: eventlog.Discard(), setMove: func(catalog.Move) {},
+		self: self, table: memtable.New(), logger: eventlog.Discard(), registeredVersions: noVersions, setMove: func(catalog.Move) {},
 		moveStatus: func() []rollout.MoveStatus { return []rollout.MoveStatus{status} },
 		liveAll:    func() []string { return live },
 		writeStatus: func(_ context.Context, _ catalog.Order, phase rollout.Phase) error {
--- a/rollout/row.go
+++ b/rollout/row.go
@@ -67,6 +67,13 @@
 	Cut bool `json:"cut,omitempty"`
 }
 
+// Supersede returns the row of an attempt that is reversed because another order replaces its
+// move.
+func (r Row) Supersede() Row {
+	r.Phase, r.Share, r.Reason = Reversed, 0, "superseded by another order"
+	return r
+}
+
 // RowKey returns the key of a move's row.
 func RowKey(move string) string {
 	return "moves/" + provider.KeySegment(move)
