upstream, plainservice: an answer that was reset during the upload is not complete

Callers: a target answered a long upload at once without a length, sent a part and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. The write of the upload takes it, and the read sees an orderly end.

Change: resetconn.Conn returns the end of a stream only if the kernel does not report the connection as reset and the other side has received what was written; upstream and plainservice also demand that the whole request was written.

--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/marjoramflow/marjoramflow/internal/resetconn"
 )
 
 const (
@@ -21,8 +23,8 @@
 )
 
 // NewDialer returns a dialer for connections to targets.
-func NewDialer() *net.Dialer {
-	return &net.Dialer{Timeout: dialTimeout}
+func NewDialer() *resetconn.Dialer {
+	return &resetconn.Dialer{Dialer: net.Dialer{Timeout: dialTimeout}}
 }
 
 // NewClient returns an HTTP client for calls to targets. With freshConnections, every
--- a/plainservice/client.go
+++ b/plainservice/client.go
@@ -69,15 +69,14 @@
 // Do runs one attempt and reads the whole answer. Its errors are *attempt.Error, of kind
 // NotSent only when no connection to the target was made.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	req, err := call.newRequest(httptrace.WithClientTrace(ctx, trace))
+	sent := newTransmission()
+	req, err := call.newRequest(httptrace.WithClientTrace(ctx, sent.trace()))
 	if err != nil {
 		return nil, call.newError(attempt.NotSent, 0, err)
 	}
 	resp, err := c.clientFor(call).Do(req)
 	if err != nil {
-		return nil, call.newError(kindOfSendError(ctx, connected), 0, err)
+		return nil, call.newError(kindOfSendError(ctx, sent.connected()), 0, err)
 	}
 	defer resp.Body.Close()
 	memory := c.memory.NewAllocation()
@@ -89,18 +88,21 @@
 	if len(body) > MaxAnswerBytes {
 		return nil, call.newError(attempt.Cut, resp.StatusCode, fmt.Errorf("answer exceeds %d bytes", MaxAnswerBytes))
 	}
-	if err := confirmEnd(ctx, call, resp); err != nil {
+	if err := confirmEnd(ctx, call, resp, sent); err != nil {
 		return nil, call.newError(attempt.Cut, resp.StatusCode, err)
 	}
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
-// confirmEnd returns an error if the answer ended with its connection and the target does not
-// run any more, so that the answer may be incomplete.
-func confirmEnd(ctx context.Context, call *Call, resp *http.Response) error {
+// confirmEnd returns an error if the answer ended with its connection, and the request was not
+// written to its end or the target does not run any more, so that the answer may be incomplete.
+func confirmEnd(ctx context.Context, call *Call, resp *http.Response, sent *transmission) error {
 	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead {
 		return nil
 	}
+	if err := sent.checkWritten(ctx); err != nil {
+		return err
+	}
 	conn, err := liveness.Check(ctx, outbound.NewDialer(), call.Address)
 	if conn != nil {
 		conn.Close()
--- a/plainservice/client_test.go
+++ b/plainservice/client_test.go
@@ -248,3 +248,33 @@
 	assert.Assert(t, maxHeap < maxHeapBytes, "%d MB on the heap", maxHeap>>20)
 	assert.Equal(t, client.memory.Used(), int64(0))
 }
+
+// Guards against a part of an answer without a length that is taken for the whole, because the
+// write of a long request is told that the connection was reset, and the read is not.
+func TestAnswerResetDuringTheUploadIsCut(t *testing.T) {
+	const requests, uploadBytes = 64, 3 << 20
+	for name, end := range map[string]func(*net.TCPConn){
+		"reset":                    func(c *net.TCPConn) { _ = c.SetLinger(0); c.Close() },
+		"closed with unread bytes": func(c *net.TCPConn) { c.Close() },
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() {
+			for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+				_, _ = http.ReadRequest(bufio.NewReaderSize(conn, 512))
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+				end(conn.(*net.TCPConn))
+			}
+		}()
+		whole := 0
+		call := keyedCall(listener.Addr().String())
+		call.Body = make([]byte, uploadBytes)
+		for range requests {
+			if _, err := NewClient().Do(t.Context(), call); err == nil {
+				whole++
+			}
+		}
+		assert.Check(t, whole == 0, "%s: %d of %d answers were taken for whole", name, whole, requests)
+		listener.Close()
+	}
+}
--- a/provider/httpplatform/client.go
+++ b/provider/httpplatform/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/internal/resetconn"
 	"github.com/marjoramflow/marjoramflow/provider"
 )
 
@@ -42,7 +43,7 @@
 		return nil, fault.New("provider.url", base, "the base URL is not an absolute URL")
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         (&resetconn.Dialer{Dialer: net.Dialer{Timeout: dialTimeout}}).DialContext,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 16,
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/internal/resetconn"
 	"github.com/marjoramflow/marjoramflow/liveness"
 )
 
@@ -19,6 +20,10 @@
 // its target does not run any more, so that the answer may be incomplete.
 var ErrUnconfirmedEnd = errors.New("the target ended together with its answer")
 
+// errRequestNotReceived means that a target ended an answer with its connection before it had
+// received the request.
+var errRequestNotReceived = errors.New("the answer ended before the request was received")
+
 // ErrNotSent is wrapped by errors that occurred before any byte of the request was written.
 var ErrNotSent = errors.New("no byte of the request was sent")
 
@@ -66,9 +71,11 @@
 	call *Call
 	conn *conn
 	// ctx is that of Send, which bounds the whole exchange.
-	ctx            context.Context
-	response       *http.Response
-	writeResult    chan error
+	ctx      context.Context
+	response *http.Response
+	// written is closed when the request has been written, or failed with writeErr.
+	written        chan struct{}
+	writeErr       error
 	stopCancelHook func() bool
 	bodyComplete   bool
 	// readDeadline is the deadline of reads, also for the check of the body's end.
@@ -88,7 +95,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	e := &Exchange{NewConnection: c.idleUntil.IsZero(), pool: p, call: call, conn: c, ctx: ctx, sentAt: time.Now(), writeResult: make(chan error, 1)}
+	e := &Exchange{NewConnection: c.idleUntil.IsZero(), pool: p, call: call, conn: c, ctx: ctx, sentAt: time.Now(), written: make(chan struct{})}
 	p.addExchange(e)
 	e.stopCancelHook = context.AfterFunc(ctx, func() { c.Close() })
 	e.writeRequest()
@@ -152,21 +159,20 @@
 // written concurrently, because a target may answer before it has read all of it.
 const maxInlineBodyBytes = 8 << 10
 
-// writeRequest writes the request, in a goroutine if the body is large, and sends the
-// result to writeResult.
+// writeRequest writes the request, in a goroutine if the body is large. It closes written at the
+// end.
 func (e *Exchange) writeRequest() {
 	head := e.call.encodeHead()
 	if len(e.call.Body) <= maxInlineBodyBytes {
-		_, err := e.conn.Write(append(head, e.call.Body...))
-		e.writeResult <- err
+		_, e.writeErr = e.conn.Write(append(head, e.call.Body...))
+		close(e.written)
 		return
 	}
 	go func() {
-		_, err := e.conn.Write(head)
-		if err == nil {
-			_, err = e.conn.Write(e.call.Body)
+		defer close(e.written)
+		if _, e.writeErr = e.conn.Write(head); e.writeErr == nil {
+			_, e.writeErr = e.conn.Write(e.call.Body)
 		}
-		e.writeResult <- err
 	}()
 }
 
@@ -219,7 +225,8 @@
 
 // Read reads the body of the answer. It returns io.EOF only at the end of a complete
 // body: after the stated length, after the last chunk or, if the answer has neither,
-// after an orderly close of the connection by a target that still runs. If the target does
+// after an orderly close of the connection by a target that has received the whole request and
+// still runs. If the target does
 // not run, the error wraps ErrUnconfirmedEnd.
 func (e *Exchange) Read(p []byte) (int, error) {
 	n, err := e.response.Body.Read(p)
@@ -229,6 +236,9 @@
 	}
 	if !e.Delimited {
 		e.pool.recordRemoteEnd(e)
+		if err := e.checkRequestReceived(); err != nil {
+			return n, err
+		}
 		if err := e.confirmEnd(); err != nil {
 			return n, err
 		}
@@ -244,6 +254,31 @@
 	}
 }
 
+// maxWriteWait bounds the wait for the end of the write of a request whose answer has ended.
+const maxWriteWait = 500 * time.Millisecond
+
+// checkRequestReceived returns an error unless the target, which has ended the connection, has
+// received the whole request. A target that closes a connection before that resets it, and an
+// answer that was reset may be incomplete.
+func (e *Exchange) checkRequestReceived() error {
+	timer := time.NewTimer(maxWriteWait)
+	defer timer.Stop()
+	select {
+	case <-e.written:
+	case <-timer.C:
+		return fmt.Errorf("%w: %w", errRequestNotReceived, resetconn.ErrUnread)
+	}
+	if e.writeErr != nil {
+		return fmt.Errorf("%w: %w", errRequestNotReceived, e.writeErr)
+	}
+	if c, ok := e.conn.Conn.(*resetconn.Conn); ok {
+		if err := c.CheckEnd(); err != nil {
+			return fmt.Errorf("%w: %w", errRequestNotReceived, err)
+		}
+	}
+	return nil
+}
+
 // confirmEnd returns an error unless the target runs after its answer has ended with the
 // connection. A target that was started again accepts connections too, but has ended those of
 // all other exchanges at the same time. The connection that the check opens replaces the one
@@ -284,8 +319,8 @@
 	reusable := e.stopCancelHook() && e.bodyComplete && !e.response.Close
 	if reusable {
 		select {
-		case err := <-e.writeResult:
-			reusable = err == nil
+		case <-e.written:
+			reusable = e.writeErr == nil
 		default:
 			// The target answered before the whole request was written.
 			reusable = false
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/internal/ctxtime"
+	"github.com/marjoramflow/marjoramflow/internal/resetconn"
 )
 
 const (
@@ -73,7 +74,7 @@
 // Pool opens connections to targets and holds idle ones by address. It is safe for
 // concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dialer resetconn.Dialer
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
@@ -124,7 +125,7 @@
 		idle:            make(map[string][]*conn),
 		exchanges:       make(map[string]*addressState),
 		distrustedUntil: make(map[string]time.Time),
-		dialer: net.Dialer{
+		dialer: resetconn.Dialer{Dialer: net.Dialer{
 			Timeout: options.DialTimeout,
 			Control: setUserTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
@@ -133,7 +134,7 @@
 				Interval: keepAliveInterval,
 				Count:    keepAliveCount,
 			},
-		},
+		}},
 	}
 }
 
