upstream, plainservice: refuse answers without a status of HTTP

Callers: a target in trouble answered with status 000 and then sent a second head, which callers got as the answer. Plain services passed the 000 itself on.

Cause: http.ReadResponse accepts any number of three characters, and upstream skipped all below 200 but 101 as interim answers. Evidence: "HTTP/1.1 000" and a 200 behind it came out of Pool.Send as a 200 without an error.

Change: answerhead.Check refuses a status outside 100 to 599, a switch of protocols and other versions than HTTP/1, in upstream (targets, health checks, the store) and as a transport of the other clients. What the target did is unknown.

An answer of the weight store that cannot be read has an unknown outcome now; it had none.

--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/internal/answerhead"
 	"github.com/marjoramflow/marjoramflow/internal/resetconn"
 )
 
@@ -32,7 +33,7 @@
 // address that they name, and the request would run a second time there.
 func NewClient(freshConnections bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: answerhead.Transport{RoundTripper: &http.Transport{
 			DialContext:         NewDialer().DialContext,
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: maxIdlePerTarget,
@@ -40,7 +41,7 @@
 			DisableKeepAlives:   freshConnections,
 
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/provider/httpplatform/client.go
+++ b/provider/httpplatform/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/marjoramflow/marjoramflow/fault"
+	"github.com/marjoramflow/marjoramflow/internal/answerhead"
 	"github.com/marjoramflow/marjoramflow/internal/resetconn"
 	"github.com/marjoramflow/marjoramflow/provider"
 )
@@ -47,7 +48,7 @@
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 16,
 	}
-	return &Client{baseURL: base, host: u.Host, httpClient: &http.Client{Transport: transport}}, nil
+	return &Client{baseURL: base, host: u.Host, httpClient: &http.Client{Transport: answerhead.Transport{RoundTripper: transport}}}, nil
 }
 
 type reserveRequest struct {
@@ -96,7 +97,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(data, out); err != nil {
-		return fault.Wrap(err, step, c.host)
+		return fault.Wrap(errors.Join(provider.ErrOutcomeUnknown, err), step, c.host)
 	}
 	return nil
 }
--- a/provider/httpplatform/client_test.go
+++ b/provider/httpplatform/client_test.go
@@ -22,6 +22,17 @@
 	return c
 }
 
+// unsoundAnswer returns a handler that writes a text in place of an answer and closes the
+// connection.
+func unsoundAnswer(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = conn.Write([]byte(text))
+			conn.Close()
+		}
+	}
+}
+
 // Guards against reporting a reservation with the wrong outcome.
 func TestOutcomesOfAReservation(t *testing.T) {
 	cases := []struct {
@@ -33,6 +44,8 @@
 		{"unavailable", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, provider.ErrUnavailable},
 		{"over the rate", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, provider.ErrUnavailable},
 		{"internal error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, provider.ErrOutcomeUnknown},
+		{"status 000", unsoundAnswer("HTTP/1.1 000 \r\nContent-Length: 12\r\n\r\n{\"waitMs\":5}"), provider.ErrOutcomeUnknown},
+		{"part of the body", unsoundAnswer("HTTP/1.1 200 OK\r\n\r\n{\"wait"), provider.ErrOutcomeUnknown},
 		{"connection cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, provider.ErrOutcomeUnknown},
 	}
 	for _, tc := range cases {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/marjoramflow/marjoramflow/internal/answerhead"
 	"github.com/marjoramflow/marjoramflow/internal/resetconn"
 	"github.com/marjoramflow/marjoramflow/liveness"
 )
@@ -194,8 +195,7 @@
 	return head.Bytes()
 }
 
-// readHead reads the status line and the headers of the answer and skips 1xx answers other
-// than 101.
+// readHead reads the status line and the headers of the answer and skips interim answers.
 func (e *Exchange) readHead() error {
 	e.conn.headBytesLeft = maxHeadBytes
 	e.SetReadDeadline(e.call.HeaderDeadline)
@@ -204,7 +204,10 @@
 		if err != nil {
 			return err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if err := answerhead.Check(response); err != nil {
+			return err
+		}
+		if response.StatusCode >= http.StatusOK {
 			e.conn.headBytesLeft = -1
 			e.response = response
 			e.Status = response.StatusCode
--- /dev/null
+++ b/upstream/head_test.go
@@ -0,0 +1,55 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// malformedHeads are answers whose head is not sound, each followed by an orderly close.
+var malformedHeads = map[string]string{
+	"status 000, then an answer": "HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+	"status 000 with a length":   "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+	"status 099":                 "HTTP/1.1 099 \r\nContent-Length: 4\r\n\r\nbody",
+	"status with a sign":         "HTTP/1.1 +20 OK\r\nContent-Length: 4\r\n\r\nbody",
+	"status 600":                 "HTTP/1.1 600 \r\nContent-Length: 4\r\n\r\nbody",
+	"status 999":                 "HTTP/1.1 999 \r\nContent-Length: 4\r\n\r\nbody",
+	"switch of protocols":        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nbody",
+	"HTTP/2.0":                   "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+}
+
+// Guards against an answer whose head is not sound that is taken for an answer.
+func TestUnsoundHeadIsNoAnswer(t *testing.T) {
+	for _, heads := range []map[string]string{malformedHeads} {
+		for name, text := range heads {
+			tg := newTarget(t, func(_ int64, conn net.Conn, _ *http.Request, _ []byte) bool {
+				_, _ = io.WriteString(conn, text)
+				return false
+			})
+			_, err := NewPool(Options{}).Send(t.Context(), tg.call(true))
+			assert.Check(t, err != nil, "%s: taken for an answer", name)
+			assert.Check(t, !errors.Is(err, ErrNotSent), "%s: the request may have run", name)
+		}
+	}
+}
+
+// Guards against an answer that is refused although its head is sound.
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	tg := newTarget(t, func(_ int64, conn net.Conn, _ *http.Request, _ []byte) bool {
+		_, err := io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 599 odd\r\nContent-Length: 4\r\n\r\nbody")
+		return err == nil
+	})
+	e, err := NewPool(Options{}).Send(t.Context(), tg.call(false))
+	assert.NilError(t, err)
+	defer e.Close()
+	e.SetReadDeadline(time.Now().Add(time.Minute))
+	body, err := io.ReadAll(e)
+	assert.NilError(t, err)
+	assert.Equal(t, e.Status, 599)
+	assert.Equal(t, string(body), "body")
+}
