upstream, plainservice: refuse answers with a blank in a field's name

Callers: a line "X Odd: 1" of a target in trouble was passed on. With "Content-Length : 4" the body was all that came until the connection ended, with "Transfer-Encoding : chunked" the chunks with their framing.

Cause: http.ReadResponse keeps names with blanks as they are and heeds none of them. Names with control bytes, tabs or bytes over 127 it refuses by itself (now in the test).

Change: answerhead.Check refuses names that are no tokens (golang.org/x/net/http/httpguts, an indirect module so far), also in interim answers.

--- a/internal/answerhead/check.go
+++ b/internal/answerhead/check.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is wrapped by the error of a head that is not one of an HTTP/1 answer.
@@ -15,7 +17,9 @@
 const maxStatus = 599
 
 // Check returns an error that wraps ErrMalformed unless the head of an answer is sound: HTTP/1, a
-// status of HTTP, which no switch of protocols is, since none is asked for.
+// status of HTTP, which no switch of protocols is, since none is asked for, and names of fields
+// that are tokens. net/http keeps a field whose name ends with a blank, such as
+// "Content-Length : 5", without heeding it.
 func Check(answer *http.Response) error {
 	switch {
 	case answer.ProtoMajor != 1:
@@ -25,6 +29,11 @@
 	case answer.StatusCode == http.StatusSwitchingProtocols:
 		return fmt.Errorf("%w: switch of protocols that was not asked for", ErrMalformed)
 	}
+	for name := range answer.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.40q", ErrMalformed, name)
+		}
+	}
 	return nil
 }
 
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -21,6 +21,16 @@
 	"status 999":                 "HTTP/1.1 999 \r\nContent-Length: 4\r\n\r\nbody",
 	"switch of protocols":        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nbody",
 	"HTTP/2.0":                   "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+	"blank in a name":            "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"blank behind a name":        "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
+	"blank behind the coding":    "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"blank in an interim answer": "HTTP/1.1 103 Early\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+	"tab behind a name":          "HTTP/1.1 200 OK\r\nContent-Length\t: 4\r\n\r\nbody",
+	"control byte in a name":     "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"byte over 127 in a name":    "HTTP/1.1 200 OK\r\nX\xe9: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"control byte in a value":    "HTTP/1.1 200 OK\r\nX-Odd: a\x01b\r\nContent-Length: 4\r\n\r\nbody",
+	"line without a colon":       "HTTP/1.1 200 OK\r\nX-Odd\r\nContent-Length: 4\r\n\r\nbody",
+	"two lengths":                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
 }
 
 // Guards against an answer whose head is not sound that is taken for an answer.
