tests: heads that end early are no answers

Other operators reported a 200 with an empty or short body, framed as whole, from a server that stopped in the middle of its answer's head. That cannot happen here, shown by eleven places in upstream, four on the whole way of a call and of a stream, for health checks and the store, three in plainservice and one in httpplatform: each is an error, the request counts as one that may have run, and goes on elsewhere if it may.

--- a/plainservice/head_test.go
+++ b/plainservice/head_test.go
@@ -22,6 +22,9 @@
 		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\nbody",
 		"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
 		"HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n",
+		"HTTP/1.1 200",
 	} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
--- a/provider/httpplatform/client_test.go
+++ b/provider/httpplatform/client_test.go
@@ -46,6 +46,7 @@
 		{"internal error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, provider.ErrOutcomeUnknown},
 		{"status 000", unsoundAnswer("HTTP/1.1 000 \r\nContent-Length: 12\r\n\r\n{\"waitMs\":5}"), provider.ErrOutcomeUnknown},
 		{"blank behind a name", unsoundAnswer("HTTP/1.1 200 OK\r\nContent-Length : 12\r\n\r\n{\"waitMs\":5}"), provider.ErrOutcomeUnknown},
+		{"head ends early", unsoundAnswer("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n"), provider.ErrOutcomeUnknown},
 		{"part of the body", unsoundAnswer("HTTP/1.1 200 OK\r\n\r\n{\"wait"), provider.ErrOutcomeUnknown},
 		{"connection cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, provider.ErrOutcomeUnknown},
 	}
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -33,9 +33,24 @@
 	"two lengths":                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
 }
 
-// Guards against an answer whose head is not sound that is taken for an answer.
+// endedHeads are answers that end with an orderly close before the end of their head.
+var endedHeads = map[string]string{
+	"nothing":             "",
+	"part of the version": "HTTP/1.",
+	"version":             "HTTP/1.1 ",
+	"status":              "HTTP/1.1 200",
+	"status line":         "HTTP/1.1 200 OK\r\n",
+	"part of a name":      "HTTP/1.1 200 OK\r\nContent-Le",
+	"part of a value":     "HTTP/1.1 200 OK\r\nContent-Length: 4",
+	"line of a field":     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n",
+	"part of the end":     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r",
+	"interim answer":      "HTTP/1.1 100 Continue\r\n\r\n",
+	"head after interim":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+}
+
+// Guards against an answer whose head is not sound, or ends early, that is taken for an answer.
 func TestUnsoundHeadIsNoAnswer(t *testing.T) {
-	for _, heads := range []map[string]string{malformedHeads} {
+	for _, heads := range []map[string]string{malformedHeads, endedHeads} {
 		for name, text := range heads {
 			tg := newTarget(t, func(_ int64, conn net.Conn, _ *http.Request, _ []byte) bool {
 				_, _ = io.WriteString(conn, text)
