upstream: do not refuse answers that end shortly after an earlier one

Callers: of answers that end with their connection, each one that ended within 50 ms of the one before it, with no other request in progress, was refused as that of a target that was killed.

Cause: endedWithOthers took the end of an exchange that was over before this one began for the end of one in progress.

Change: an end counts only if it came after the request was sent. TestAnswersWithoutALengthInQuickSuccessionAreWhole failed before at its second answer; the tests of killed and restarted targets pass as before.

--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -71,3 +71,18 @@
 		assert.Equal(t, text, "half of it")
 	}
 }
+
+// Guards against answers without a length that are refused because the answer before them ended
+// shortly before with its connection, too.
+func TestAnswersWithoutALengthInQuickSuccessionAreWhole(t *testing.T) {
+	tg := newTarget(t, func(_ int64, conn net.Conn, _ *http.Request, _ []byte) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		return false
+	})
+	p := NewPool(Options{})
+	for range 20 {
+		text, err := sendAndRead(t, p, tg.call(false))
+		assert.NilError(t, err)
+		assert.Equal(t, text, "whole")
+	}
+}
--- a/upstream/witness.go
+++ b/upstream/witness.go
@@ -57,7 +57,8 @@
 }
 
 // endedWithOthers reports whether the connection of e, which the target ended at endedAt, ended
-// together with those of all other exchanges. Without another exchange it reports false.
+// together with those of all other exchanges in progress. Without another exchange, or if the
+// last one ended before e began, it reports false.
 func (p *Pool) endedWithOthers(e *Exchange, endedAt time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -74,7 +75,7 @@
 	if s.lastEnded == e {
 		otherEndAt = s.earlierEndAt
 	}
-	return endedAt.Sub(otherEndAt).Abs() <= sameTime
+	return !otherEndAt.Before(e.sentAt) && endedAt.Sub(otherEndAt).Abs() <= sameTime
 }
 
 // forgetAddresses removes the states without an exchange whose last one ended a while ago.
