upstream: refuse chunks in an answer of HTTP/1.0

Callers: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" reached them with the framing of its chunks as its body. Found by looking for further ways to a body that is not the target's; not reported.

Cause: http.ReadResponse drops the transfer coding of HTTP/1.0 without heeding it.

Change: the head of an answer that begins with HTTP/1.0 is copied while it is read; one with a transfer coding is malformed. The two rows of TestUnsoundHeadIsNoAnswer failed before, TestAnswerOfTheOldVersionIsRead shows that others pass. Clients that use http.Transport cannot see the field and are unchanged.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -200,7 +200,7 @@
 	e.conn.headBytesLeft = maxHeadBytes
 	e.SetReadDeadline(e.call.HeaderDeadline)
 	for {
-		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.call.Method})
+		response, err := e.conn.readResponse(e.call.Method)
 		if err != nil {
 			return err
 		}
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	"control byte in a value":    "HTTP/1.1 200 OK\r\nX-Odd: a\x01b\r\nContent-Length: 4\r\n\r\nbody",
 	"line without a colon":       "HTTP/1.1 200 OK\r\nX-Odd\r\nContent-Length: 4\r\n\r\nbody",
 	"two lengths":                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+	"chunks in a long HTTP/1.0":  "HTTP/1.0 200 OK\r\nX-Long: " + strings.Repeat("x", 2*readBufferBytes) + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"chunks in HTTP/1.0":         "HTTP/1.0 200 OK\r\nX-One: 1\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 }
 
 // endedHeads are answers that end with an orderly close before the end of their head.
@@ -63,6 +66,20 @@
 	}
 }
 
+// Guards against an answer of HTTP/1.0 that is refused although its head is sound.
+func TestAnswerOfTheOldVersionIsRead(t *testing.T) {
+	for _, head := range []string{"Content-Length: 4\r\n", "", "X-Long: " + strings.Repeat("x", 2*readBufferBytes) + "\r\n"} {
+		tg := newTarget(t, func(_ int64, conn net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n"+head+"\r\nTransfer-Encoding: body")
+			return false
+		})
+		text, err := sendAndRead(t, NewPool(Options{}), tg.call(false))
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix("Transfer-Encoding: body", text), "%q", text)
+		assert.Assert(t, len(text) >= 4)
+	}
+}
+
 // Guards against an answer that is refused although its head is sound.
 func TestInterimAnswersAreSkipped(t *testing.T) {
 	tg := newTarget(t, func(_ int64, conn net.Conn, _ *http.Request, _ []byte) bool {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -96,6 +96,9 @@
 	// headBytesLeft is how many bytes of an answer's status line and headers may still be
 	// read. It is negative while a body is read, which has no such bound.
 	headBytesLeft int
+	// headCopy holds the bytes that were read since copiesHead was set.
+	copiesHead bool
+	headCopy   []byte
 }
 
 // errHeadTooLarge is returned when status line and headers exceed maxHeadBytes.
@@ -113,6 +116,9 @@
 	if c.headBytesLeft > 0 {
 		c.headBytesLeft -= n
 	}
+	if c.copiesHead {
+		c.headCopy = append(c.headCopy, p[:n]...)
+	}
 	return n, err
 }
 
