soak: targets that spoil answers

None of them may reach a caller as complete; a spoilt answer excuses the loss of this answer only. The proxies pass a reset on as a reset; it reached the daemons as an orderly end.

--- a/bench/internal/soak/proxy.go
+++ b/bench/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -79,7 +80,8 @@
 	p.mu.Unlock()
 }
 
-// copyDirection forwards data from one connection to the other until either ends. While
+// copyDirection forwards data from one connection to the other until either ends; a reset is
+// passed on as one. While
 // *drop is set, it reads and discards the data; the other side gets nothing, not even the
 // end of the connection.
 func (p *proxy) copyDirection(c *proxiedConn, from, to net.Conn, drop *bool) {
@@ -104,6 +106,9 @@
 				err = writeErr
 			}
 		}
+		if err != nil && err != io.EOF {
+			reset(to)
+		}
 		if err != nil {
 			from.Close()
 			to.Close()
--- a/bench/internal/soak/recorder.go
+++ b/bench/internal/soak/recorder.go
@@ -29,6 +29,8 @@
 	ranOn []string
 	// toldNotRun is set when the caller was told that the request has not run.
 	toldNotRun bool
+	// spoilt is set if a target spoiled its answer.
+	spoilt bool
 }
 
 func newRecorder() *recorder {
@@ -75,18 +77,29 @@
 	}
 }
 
+// recordSpoilt records that a target spoils its answer to a request.
+func (r *recorder) recordSpoilt(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if q := r.requests[id]; q != nil {
+		q.spoilt = true
+		r.counts["spoilt answers"]++
+	}
+}
+
 func (r *recorder) recordTargetCrash(target string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.targetCrashedAt[target] = time.Now()
 }
 
-// ranOnLiveTarget reports whether a request ran on a target that has not crashed since.
+// ranOnLiveTarget reports whether a request ran on a target that has not crashed since, and no
+// target spoiled its answer.
 func (r *recorder) ranOnLiveTarget(q *request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, target := range q.ranOn {
-		if r.targetCrashedAt[target].IsZero() {
+		if !q.spoilt && r.targetCrashedAt[target].IsZero() {
 			return true
 		}
 	}
--- a/bench/internal/soak/soak.go
+++ b/bench/internal/soak/soak.go
@@ -84,6 +84,7 @@
 	}
 	faultCtx, stopFaults := context.WithTimeout(ctx, config.Duration)
 	defer stopFaults()
+	callers.Go(func() { newTrouble(inj, config.Seed).run(faultCtx) })
 	inj.run(faultCtx)
 	env.store.Faults.Set(faults.Switches{})
 	time.Sleep(recoveryTime)
--- a/bench/internal/soak/target.go
+++ b/bench/internal/soak/target.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,6 +37,8 @@
 	// request crashes the target when the target begins to answer. It is not changed while
 	// the target runs.
 	onRun func(r *http.Request) (crashes bool)
+	// spoiling holds the forms of the answers that the target spoils, nil if it is sound.
+	spoiling atomic.Pointer[[]string]
 }
 
 func newTarget(service string, number int, r *recorder) (*target, error) {
@@ -108,26 +111,42 @@
 		t.crash()
 		return
 	}
+	form := t.formOf(attempt)
+	if form != "" {
+		t.recorder.recordSpoilt(attempt)
+	}
 	if kindOf(r.URL.Path) == kindStream {
-		t.streamEvents(w, r, attempt)
+		t.streamEvents(w, r, attempt, form)
 		return
 	}
 	time.Sleep(time.Duration(5+hash(attempt)%40) * time.Millisecond)
+	if form != "" && form != wrongLastNumber && spoil(w, attempt, answerBody(attempt), form) {
+		return
+	}
 	_, _ = io.WriteString(w, answerBody(attempt))
 }
 
 // eventPause is the time between two events of a stream.
 const eventPause = 10 * time.Millisecond
 
-func (t *target) streamEvents(w http.ResponseWriter, r *http.Request, attempt string) {
+// streamEvents sends the events that the caller does not have. form is that in which the answer
+// is spoilt, or empty.
+func (t *target) streamEvents(w http.ResponseWriter, r *http.Request, attempt, form string) {
 	next := 0
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		next = last + 1
 	}
+	if form != "" && form != wrongLastNumber && next < eventCount(attempt) && spoil(w, attempt, event(attempt, next), form) {
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
 	for ; next < eventCount(attempt); next++ {
-		if _, err := io.WriteString(w, event(attempt, next)); err != nil || flusher.Flush() != nil {
+		text := event(attempt, next)
+		if form == wrongLastNumber && next == eventCount(attempt)-1 {
+			text = strings.Replace(text, fmt.Sprintf("id: %d\n", next), "id: 0\n", 1)
+		}
+		if _, err := io.WriteString(w, text); err != nil || flusher.Flush() != nil {
 			return
 		}
 		time.Sleep(eventPause)
