rollout: send and judge evidence more often only in a short soak

Change: evidence is sent twenty times in a soak, every 50 to 500 ms, and judged as often; in other phases as before. TestEvidenceIntervalFollowsTheSoak is new.

--- a/internal/moves/manager.go
+++ b/internal/moves/manager.go
@@ -21,15 +21,6 @@
 	"github.com/marjoramflow/marjoramflow/rollout"
 )
 
-const (
-	// evidenceInterval is the time between two evidence messages. Evidence takes two hops,
-	// and a bad version has to be at zero share within 2 s of the evidence against it.
-	evidenceInterval = 500 * time.Millisecond
-	// soakEvidenceInterval replaces evidenceInterval while a version gets all requests of its
-	// service. A fault that shows only then harms every caller until it is known.
-	soakEvidenceInterval = 50 * time.Millisecond
-)
-
 // Config holds the dependencies of a Manager. All but Options are required.
 type Config struct {
 	Self        string
@@ -135,7 +126,7 @@
 // forwardAllEvidence forwards evidence until the context ends: in the interval that the phases
 // of the moves call for, and when a phase changes. It returns nil.
 func (m *Manager) forwardAllEvidence(ctx context.Context) error {
-	timer := time.NewTimer(evidenceInterval)
+	timer := time.NewTimer(m.TrafficSplit.EvidenceInterval())
 	defer timer.Stop()
 	for {
 		select {
@@ -145,16 +136,8 @@
 		case <-timer.C:
 		}
 		m.forwardEvidence()
-		timer.Reset(m.evidencePause())
-	}
-}
-
-// evidencePause returns the time until evidence is forwarded next.
-func (m *Manager) evidencePause() time.Duration {
-	if m.TrafficSplit.Soaking() {
-		return soakEvidenceInterval
+		timer.Reset(m.TrafficSplit.EvidenceInterval())
 	}
-	return evidenceInterval
 }
 
 // forwardEvidence sends the evidence of this daemon's collector to the daemon that
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -205,8 +205,8 @@
 }
 
 // AddEvidence merges evidence for moves whose lease this daemon holds or held last;
-// other evidence is dropped. AddEvidence itself evaluates the evidence and cuts a bad
-// version, unless a decision was made just before.
+// other evidence is dropped. While Run waits for the store, and during a short soak,
+// AddEvidence itself evaluates the evidence and cuts a bad version.
 func (c *Controller) AddEvidence(e *Evidence) {
 	for _, cut := range c.addEvidence(e) {
 		c.Cut(cut.Move, cut.Attempt, cut.Reason)
--- a/rollout/service_controller.go
+++ b/rollout/service_controller.go
@@ -114,15 +114,15 @@
 	m.tally.Merge(s.controller.config.Now(), e)
 }
 
-// minEvaluationPause is the least time between a decision and the evaluation of evidence that
-// arrives after it. It bounds the cost of the evaluation where many aggregators send evidence.
-const minEvaluationPause = 50 * time.Millisecond
-
-// cutsOnEvidence returns the cuts that new evidence requires, so that a cut waits neither for
-// the next decision nor for a call to the store that blocks Run. It returns none if the policy
-// has decided on the move in the last minEvaluationPause. The caller holds the mutex.
+// cutsOnEvidence returns the cuts that new evidence requires, so that a cut waits neither for a
+// call to the store that blocks Run nor, during a short soak, for the next decision. It returns
+// none if the policy has decided on the move just before. The caller holds the mutex.
 func (s *serviceController) cutsOnEvidence(m *moveState) []CutShare {
-	if m.tally == nil || s.controller.config.Now().Sub(m.lastDecision) < minEvaluationPause {
+	pause := 2 * decisionInterval
+	if m.row.Phase == Soaking && m.move.Soak > 0 {
+		pause = min(pause, evidenceInterval(m.move.Soak))
+	}
+	if m.tally == nil || s.controller.config.Now().Sub(m.lastDecision) < pause {
 		return nil
 	}
 	var out []CutShare
--- a/rollout/shares.go
+++ b/rollout/shares.go
@@ -40,8 +40,8 @@
 type plan struct {
 	services map[string]servicePlan
 	active   map[string][]ActiveMove
-	// soaking is set if a version gets all requests of its service, on trial.
-	soaking bool
+	// evidenceInterval is the shortest that the moves in the phase Soaking call for.
+	evidenceInterval time.Duration
 }
 
 // servicePlan holds the base version of a service and its moves by deadline.
@@ -81,7 +81,7 @@
 // NewTrafficSplitWithClock returns a TrafficSplit that uses the given clock and has no configuration.
 func NewTrafficSplitWithClock(now func() time.Time) *TrafficSplit {
 	s := &TrafficSplit{now: now, rows: make(map[string]newestRow), cuts: make(map[string]cut)}
-	s.plan.Store(&plan{})
+	s.plan.Store(&plan{evidenceInterval: maxEvidenceInterval})
 	return s
 }
 
@@ -227,9 +227,10 @@
 	return s.plan.Load().active[service]
 }
 
-// Soaking reports whether an attempt in progress is in the phase Soaking. It takes no lock.
-func (s *TrafficSplit) Soaking() bool {
-	return s.plan.Load().soaking
+// EvidenceInterval returns the time between two evidence messages. It depends on the moves that
+// soak. It takes no lock.
+func (s *TrafficSplit) EvidenceInterval() time.Duration {
+	return s.plan.Load().evidenceInterval
 }
 
 // rebuild replaces the plan by one computed from the configuration, rows and cuts. The
@@ -241,6 +242,8 @@
 	next := &plan{
 		services: make(map[string]servicePlan, len(s.set.Services)),
 		active:   make(map[string][]ActiveMove),
+
+		evidenceInterval: maxEvidenceInterval,
 	}
 	for i := range s.set.Services {
 		service := &s.set.Services[i]
@@ -277,7 +280,9 @@
 		from: m.From, to: m.To, done: row.Phase == Done, share: row.Share, deadline: row.Deadline,
 	})
 	next.services[m.Service] = p
-	next.soaking = next.soaking || row.Phase == Soaking
+	if row.Phase == Soaking && m.Soak > 0 {
+		next.evidenceInterval = min(next.evidenceInterval, evidenceInterval(m.Soak))
+	}
 	if !row.Phase.Final() {
 		next.active[m.Service] = append(next.active[m.Service], ActiveMove{
 			Move: m.Name, Service: m.Service, From: m.From, To: m.To,
--- a/rollout/shares_test.go
+++ b/rollout/shares_test.go
@@ -61,6 +61,24 @@
 	assert.Equal(t, s.PickRetry("s", "v2", 0), "v2", "the old version does not serve any more")
 }
 
+// Guards against evidence that is sent, and evaluated, very often during a long soak, and too
+// rarely during a short one.
+func TestEvidenceIntervalFollowsTheSoak(t *testing.T) {
+	for soak, want := range map[time.Duration]time.Duration{
+		0: 500 * time.Millisecond, 950 * time.Millisecond: 50 * time.Millisecond, 3 * time.Second: 150 * time.Millisecond, time.Minute: 500 * time.Millisecond,
+	} {
+		s := NewTrafficSplitWithClock(func() time.Time { return startTime })
+		set := testSet()
+		set.Moves[0].Soak = soak
+		s.SetConfig(set)
+		assert.Equal(t, s.EvidenceInterval(), maxEvidenceInterval)
+		applyTestRow(t, s, 1, testRow(Shifting, 500))
+		assert.Equal(t, s.EvidenceInterval(), maxEvidenceInterval)
+		applyTestRow(t, s, 2, testRow(Soaking, FullShare))
+		assert.Equal(t, s.EvidenceInterval(), want, "soak %v", soak)
+	}
+}
+
 // Guards against a share that differs from the newest row, that an older row raises,
 // or that outlasts a cut or the deadline.
 func TestShares(t *testing.T) {
