entry: notice a new event that has the number of the one before it

Callers: a target that continues a stream sends its last event with the number of the event before, 11 in place of 12.

Change: a repeated event must have the bytes that the caller got. Where an earlier request sent them, which is not known here, an answer of nothing but repeated events is not complete.

The row "as the one before" of TestStreamIsContinuedInSpiteOfAWrongNumber failed before; TestResumedStreamDoesNotEndWithARepeatedEvent is new. TestEndlessBytesEndTheAttempt, in which a target repeats the caller's last event and ends, passes as before.

--- a/entry/event_sequence_test.go
+++ b/entry/event_sequence_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/marjoramflow/marjoramflow/eventstream"
 	"github.com/marjoramflow/marjoramflow/object"
 )
 
@@ -39,6 +40,9 @@
 		"first answer":           {{body: renumber(whole, "12", "2")}, {body: eventRange(12, 12)}},
 		"last event of the next": {{body: eventRange(1, 11), err: errCut}, {body: renumber(eventRange(12, 12), "12", "2")}, {body: eventRange(12, 12)}},
 		"repeated events":        {{body: eventRange(1, 9), err: errCut}, {body: renumber(eventRange(4, 12), "6", "16")}, {body: eventRange(10, 12)}},
+		"as the one before":      {{body: eventRange(1, 11), err: errCut}, {body: renumber(eventRange(12, 12), "12", "11")}, {body: eventRange(12, 12)}},
+		"first of the next, low": {{body: eventRange(1, 9), err: errCut}, {body: renumber(eventRange(10, 12), "10", "1")}, {body: eventRange(10, 12)}},
+		"first of the next, up":  {{body: eventRange(1, 9), err: errCut}, {body: renumber(eventRange(10, 12), "10", "30")}, {body: eventRange(10, 12)}},
 	} {
 		for i := range replies {
 			replies[i].status = http.StatusOK
@@ -53,3 +57,16 @@
 	c := newForwardCase(scriptedReply{status: http.StatusOK, body: renumber(whole, "1", "91")}, scriptedReply{status: http.StatusOK})
 	assert.Assert(t, c.run(t.Context(), object.RepeatResume, true) != nil, "the stream was continued at an event of unknown number")
 }
+
+// Guards against a stream that a caller resumes and that ends as complete with nothing but an
+// event that seems to be the caller's last one.
+func TestResumedStreamDoesNotEndWithARepeatedEvent(t *testing.T) {
+	s := newEventSequence(11, 0)
+	repeated, err := s.accept(eventstream.Event{ID: 11, HasID: true})
+	assert.NilError(t, err)
+	assert.Assert(t, repeated)
+	assert.ErrorIs(t, s.end(), errReplayEnded)
+	_, err = s.accept(eventstream.Event{ID: 12, HasID: true})
+	assert.NilError(t, err)
+	assert.NilError(t, s.end())
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -40,7 +40,9 @@
 	mayHaveRun bool
 	// lastEvent is the number of the last event that the caller has; eventsSent counts
 	// the events that this run sent.
-	lastEvent     int64
+	lastEvent int64
+	// lastEventSum is the sum of the bytes of that event, or 0 if an earlier run sent it.
+	lastEventSum  uint64
 	eventsSent    int
 	answerStarted bool
 	// positionUnknown is set if lastEvent may be wrong, so that no target can continue the
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -23,7 +23,7 @@
 	memory := f.runner.AnswerMemory.NewAllocation()
 	defer memory.Release()
 	events := eventstream.NewReader(reply.Body, memory.Grow)
-	sequence := newEventSequence(f.lastEvent)
+	sequence := newEventSequence(f.lastEvent, f.lastEventSum)
 	unnumbered, received := 0, 0
 	reply.Body.SetReadDeadline(f.firstByteBy(started))
 	for {
@@ -89,7 +89,7 @@
 	if event.HasID {
 		repeated, err := sequence.accept(event)
 		if err != nil {
-			f.positionUnknown = sequence.startUnknown(event)
+			f.positionUnknown = f.positionUnknown || sequence.startUnknown(event)
 			return attemptError(attempt.Cut, target, reply.Status, err)
 		}
 		if repeated {
@@ -110,7 +110,7 @@
 	}
 	f.recordEventSent()
 	if event.HasID {
-		f.lastEvent = event.ID
+		f.lastEvent, f.lastEventSum = event.ID, eventSum(event)
 	}
 	return nil
 }
