entry: do not continue a stream behind an event that lost its number

Callers: an event whose number cannot be read was passed on; when the stream broke off later, the target that continued it sent the event again, and callers had it twice.

Cause: the place to go on from is the last number, and the event had none. Change: behind such an event a stream is not continued, it breaks off.

TestStreamIsNotContinuedBehindAnEventThatLostItsNumber failed before.

--- a/entry/event_sequence.go
+++ b/entry/event_sequence.go
@@ -69,6 +69,12 @@
 	return errReplayEnded
 }
 
+// inNumberedPart reports whether an event without a number stands behind one with a number, so
+// that its own number may have been lost.
+func (s *eventSequence) inNumberedPart(event eventstream.Event) bool {
+	return !event.HasID && !event.Comment && s.previous != NoEvent
+}
+
 // startUnknown reports whether the number of the first event may be too high, given an event
 // that accept has refused: the caller had none before the first, and the refused one, which is
 // the second, has a lower number.
--- a/entry/event_sequence_test.go
+++ b/entry/event_sequence_test.go
@@ -58,6 +58,20 @@
 	assert.Assert(t, c.run(t.Context(), object.RepeatResume, true) != nil, "the stream was continued at an event of unknown number")
 }
 
+// Guards against an event that callers get twice, first without its number and then from the
+// target that continues the stream.
+func TestStreamIsNotContinuedBehindAnEventThatLostItsNumber(t *testing.T) {
+	broken := strings.Replace(eventRange(1, 6), "id: 5\n", "id: 5x\n", 1)
+	for name, first := range map[string]scriptedReply{
+		"gap": {status: http.StatusOK, body: broken},
+		"cut": {status: http.StatusOK, body: strings.TrimSuffix(broken, eventRange(6, 6)), err: errCut},
+	} {
+		c := newForwardCase(first, scriptedReply{status: http.StatusOK, body: eventRange(5, 9)})
+		assert.Assert(t, c.run(t.Context(), object.RepeatResume, true) != nil, name)
+		assert.Equal(t, strings.Count(c.sink.body.String(), "data: 5\n"), 1, name)
+	}
+}
+
 // Guards against a stream that a caller resumes and that ends as complete with nothing but an
 // event that seems to be the caller's last one.
 func TestResumedStreamDoesNotEndWithARepeatedEvent(t *testing.T) {
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -99,6 +99,10 @@
 	if !event.HasID && !event.Comment && f.continues() {
 		return attemptError(attempt.Cut, target, reply.Status, errNotContinued)
 	}
+	if sequence.inNumberedPart(event) {
+		// Another target would send the event again.
+		f.positionUnknown = true
+	}
 	if !f.answerStarted {
 		if err := f.sink.Start(reply.Status, reply.Header, reply.Length); err != nil {
 			return f.callerDisconnected(err)
