entry: state no length for streams that may be continued

Callers: a stream with a length told its caller that length, although events that the caller has are left out of it, or another target continues it with other bytes. The whole stream then looked cut, or its end was not sent.

Change: streams on routes that permit resumption, and those that a caller resumes, are sent without a length; chunks mark their end. Found by reading; TestContinuedStreamStatesNoLength is new and could not run before.

--- a/entry/event_sequence_test.go
+++ b/entry/event_sequence_test.go
@@ -72,6 +72,19 @@
 	}
 }
 
+// Guards against a whole stream that looks cut to its caller, who was told a length that
+// includes events which were left out.
+func TestContinuedStreamStatesNoLength(t *testing.T) {
+	for _, test := range []struct {
+		repeat      object.Repeat
+		resumeAfter int64
+		want        int64
+	}{{object.RepeatNever, NoEvent, 17}, {object.RepeatResume, NoEvent, unknownLength}, {object.RepeatNever, 4, unknownLength}} {
+		f := &forwardRun{request: &ForwardRequest{Ingress: &object.Ingress{Repeat: test.repeat}, ResumeAfter: test.resumeAfter}}
+		assert.Equal(t, f.streamLength(&Reply{Length: 17}), test.want)
+	}
+}
+
 // Guards against a stream that a caller resumes and that ends as complete with nothing but an
 // event that seems to be the caller's last one.
 func TestResumedStreamDoesNotEndWithARepeatedEvent(t *testing.T) {
--- a/entry/forward_stream.go
+++ b/entry/forward_stream.go
@@ -104,7 +104,7 @@
 		f.positionUnknown = true
 	}
 	if !f.answerStarted {
-		if err := f.sink.Start(reply.Status, reply.Header, reply.Length); err != nil {
+		if err := f.sink.Start(reply.Status, reply.Header, f.streamLength(reply)); err != nil {
 			return f.callerDisconnected(err)
 		}
 		f.answerStarted, f.startedIn = true, f.attempts
@@ -119,6 +119,18 @@
 	return nil
 }
 
+// unknownLength is the length of an answer that does not state it.
+const unknownLength = -1
+
+// streamLength returns the length that the caller is told. That of the target's answer does not
+// hold if events are left out or another target continues the stream.
+func (f *forwardRun) streamLength(reply *Reply) int64 {
+	if f.request.Ingress.Repeat == object.RepeatResume || f.request.ResumeAfter != NoEvent {
+		return unknownLength
+	}
+	return reply.Length
+}
+
 // continues reports whether this attempt continues a stream that an earlier one began.
 func (f *forwardRun) continues() bool {
 	return f.answerStarted && f.startedIn != f.attempts
