catalog: keep the version of an order apart before its move is known

Callers: a daemon that has just started knows the order, but not its outcome until it has read the order's row from the table, a second or more while the store is slow. Until then no move was known, and a version on trial or taken back counted as stable.

Change: the watcher notes an order that it reads, if no move of the service is known. Its targets are the canary, which gets no share before the move's row is known, unless no target of another version is registered, as after a completed roll-out.

TestOrderThatIsReadKeepsItsVersionApart failed before (the target stays stable for the whole wait).

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -90,6 +90,49 @@
 	assert.Equal(t, set.Moves[0].Name, "s.to.v2")
 }
 
+// Guards against a version on trial, or one that was taken back, that gets the requests of the
+// stable version from a daemon that has just started and does not know the outcome of the order.
+func TestOrderedVersionIsKeptApartBeforeItsMoveIsKnown(t *testing.T) {
+	s := NewState(regions)
+	s.SetManifest(manifest(1, "s"))
+	s.SetInstance(instance("one", "s", 1))
+	two := instance("two", "s", 2)
+	two.Version = "v2"
+	s.SetInstance(two)
+	order := Order{Service: "s", To: "v2", Revision: 5}
+	assert.Assert(t, s.noteOrder(order))
+	set := s.Build()
+	assert.NilError(t, set.Check().Err())
+	assert.DeepEqual(t, set.Targets[0].Versions, []string{StableVersion("s")})
+	assert.DeepEqual(t, set.Targets[1].Versions, []string{CanaryVersion("s")})
+	assert.Equal(t, len(set.Moves), 0, "there is no deadline yet")
+
+	s.RemoveInstance("one")
+	assert.DeepEqual(t, s.Build().Targets[0].Versions, []string{StableVersion("s"), CanaryVersion("s")})
+
+	s.SetMove(Move{Order: order, Deadline: time.Now().Add(time.Minute)})
+	assert.Equal(t, len(s.Build().Moves), 1)
+	assert.Assert(t, !s.noteOrder(Order{Service: "s", To: "v3", Revision: 6}), "the known move stays until the next one is known")
+	assert.DeepEqual(t, s.Build().Targets[0].Versions, []string{CanaryVersion("s")})
+}
+
+// Guards against the same in a daemon that reads the order from the platform.
+func TestOrderThatIsReadKeepsItsVersionApart(t *testing.T) {
+	f := newFakeSource()
+	installedSet := startWatcher(t, f)
+	putInstance(f, instance("one", "s", 1))
+	two := instance("two", "s", 2)
+	two.Version = "v2"
+	putInstance(f, two)
+	f.put(OperatorTopic, Record{Key: "config", Manifest: manifest(1, "s")})
+	f.put(OperatorTopic, Record{Key: "order", Order: &Order{Service: "s", To: "v2"}})
+	waitUntil(t, "the canary", func() bool {
+		set := installedSet()
+		return set != nil && len(set.Targets) == 2 && set.Targets[1].Versions[0] == CanaryVersion("s")
+	})
+	assert.DeepEqual(t, installedSet().Targets[0].Versions, []string{StableVersion("s")})
+}
+
 // fakeSource is a Source in memory whose failures are scripted.
 type fakeSource struct {
 	mu          sync.Mutex
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -41,6 +41,9 @@
 	// Serves is set if the ordered version already serves, for example when it replaces an
 	// order that is to be undone. Its targets serve all along then.
 	Serves bool
+	// Provisional is set while only the order is known. Its version is on trial already, but
+	// there is no move yet.
+	Provisional bool
 }
 
 // canarySharePercent is the share of requests that a new version gets until shortly before
@@ -158,6 +161,16 @@
 	s.moves[m.Service] = m
 }
 
+// noteOrder keeps the targets of an ordered version apart until its move is known, and reports
+// whether anything changed. While a move of the service is known, it stays in force.
+func (s *State) noteOrder(order Order) bool {
+	if _, known := s.moves[order.Service]; known {
+		return false
+	}
+	s.moves[order.Service] = Move{Order: order, Provisional: true}
+	return true
+}
+
 // SetEvacuation puts the evacuation of a row in force and reports whether anything changed.
 func (s *State) SetEvacuation(key string, e Evacuation) bool {
 	old, known := s.evacuations[key]
@@ -257,7 +270,7 @@
 func (s *State) buildMoves(services []object.Service) []object.Move {
 	var out []object.Move
 	for _, service := range services {
-		if move, moving := s.moves[service.Name]; moving {
+		if move, moving := s.moves[service.Name]; moving && !move.Provisional {
 			out = append(out, move.toObject())
 		}
 	}
@@ -297,7 +310,7 @@
 func (s *State) servedVersions(i *Instance) []string {
 	move, moving := s.moves[i.Service]
 	switch {
-	case moving && i.Version == move.To && move.Serves:
+	case moving && i.Version == move.To && (move.Serves || s.servesAlone(&move)):
 		return []string{StableVersion(i.Service), CanaryVersion(i.Service)}
 	case moving && i.Version == move.To:
 		return []string{CanaryVersion(i.Service)}
@@ -307,6 +320,20 @@
 	return []string{StableVersion(i.Service)}
 }
 
+// servesAlone reports whether the version of a provisional move is the only one that can serve,
+// as after a move that was completed.
+func (s *State) servesAlone(move *Move) bool {
+	if !move.Provisional {
+		return false
+	}
+	for _, i := range s.instances {
+		if i.Service == move.Service && i.Version != move.To && !i.Draining {
+			return false
+		}
+	}
+	return true
+}
+
 // registeredVersions returns the versions of the registered targets of a service, in order.
 func (s *State) registeredVersions(service string) []string {
 	versions := make(map[string]bool)
--- a/catalog/watcher.go
+++ b/catalog/watcher.go
@@ -385,6 +385,7 @@
 		order := *r.Order
 		order.Revision = r.Revision
 		w.OnOrder(order)
+		return w.state.noteOrder(order)
 	case r.Evacuation != nil:
 		return w.beginEvacuation(r)
 	}
