rollout: a new holder waits for evidence before it completes a move

Callers: if the holder of a move stops while the version soaks, the next one takes over without evidence, since the aggregators send it theirs only when they know it. It completed the version at the end of the soak, which the old holder had begun.

Change: MinimumSoak is counted from the takeover, too. The row "late takeover" of TestSoakWaitsForItsEvidence failed before; the other two show the bounds that brought.

--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -74,14 +74,18 @@
 
 // finishSoak records done after the soak unless the evidence is suspicious. If a
 // takeover has cost time, the soak is shortened rather than missing the deadline, but not
-// below MinimumSoak.
+// below MinimumSoak, counted from the takeover: a new holder begins without evidence.
 func (m *StateMachine) finishSoak(in *Input, v Verdict) []Action {
 	end := in.StepSince.Add(m.soakTime(in))
 	latestEnd := m.latestDoneWrite(in.Row).Add(-m.Options.WriteAllowance)
 	if latestEnd.Before(end) {
 		end = latestEnd
 	}
-	if earliestEnd := in.StepSince.Add(m.Options.MinimumSoak); end.Before(earliestEnd) {
+	evidenceSince := in.StepSince
+	if in.Lease.AcquiredAt.After(evidenceSince) {
+		evidenceSince = in.Lease.AcquiredAt
+	}
+	if earliestEnd := evidenceSince.Add(m.Options.MinimumSoak); end.Before(earliestEnd) {
 		end = earliestEnd
 	}
 	if in.Now.Before(end) {
--- a/rollout/state_machine_test.go
+++ b/rollout/state_machine_test.go
@@ -69,6 +69,37 @@
 	}
 }
 
+// Guards against a version that is completed without any evidence from full share: by a holder
+// that has just taken over, or that entered the soak late.
+func TestSoakWaitsForItsEvidence(t *testing.T) {
+	m := &StateMachine{Options: DefaultOptions(), Evaluator: fixedEvaluator{}}
+	move := testMove(time.Minute)
+	move.Soak = 10 * time.Second
+	row := testRow(Soaking, FullShare)
+	row.Deadline, row.Started, row.Fence = move.Deadline, startTime, 2
+	latestEnd := m.latestDoneWrite(row).Add(-m.Options.WriteAllowance)
+	for _, test := range []struct {
+		name                  string
+		stepSince, acquiredAt time.Time
+		end                   time.Time
+	}{
+		{"from the start", startTime, startTime, startTime.Add(move.Soak)},
+		{"late takeover", startTime, startTime.Add(20 * time.Second), startTime.Add(20*time.Second + m.Options.MinimumSoak)},
+		{"late soak", latestEnd, startTime, latestEnd.Add(m.Options.MinimumSoak)},
+	} {
+		isDone := func(now time.Time) bool {
+			actions := m.Next(&Input{
+				Now: now, Move: move, Row: row, RowVersion: 5, StepSince: test.stepSince,
+				Lease: Lease{Held: true, Fence: 2, Remaining: time.Minute, AcquiredAt: test.acquiredAt},
+			})
+			write, isWrite := actions[len(actions)-1].(WriteRow)
+			return isWrite && write.Row.Phase == Done
+		}
+		assert.Assert(t, !isDone(test.end.Add(-time.Millisecond)), test.name)
+		assert.Assert(t, isDone(test.end), test.name)
+	}
+}
+
 // Guards against load commands that can outlast the lease on a target that does not
 // check fencing numbers, and against load commands to such a target before those of
 // the previous holder have timed out.
