--- a/daemon/orders_test.go
+++ b/daemon/orders_test.go
@@ -122,3 +122,18 @@
 	status := rollout.MoveStatus{Move: "s.to.v2", Service: "s", Phase: rollout.Done, Holder: "d1", HoldsLease: true}
 	assert.Equal(t, len(reportedBy(t, "d1", order, status, "d1")), 0)
 }
+
+// Guards against an operator who is told that a version was completed, and stops the old targets,
+// although a cut crossed with the end of the move, and the old version serves.
+func TestCutThatCrossesTheEndIsReportedAsReversed(t *testing.T) {
+	order := catalog.Order{Service: "s", To: "v2", MaxDuration: 12 * time.Second}
+	status := rollout.MoveStatus{Move: "s.to.v2", Service: "s", Phase: rollout.Done, Holder: "d1", CutReason: "errors"}
+	assert.DeepEqual(t, reportedBy(t, "d1", order, status, "d1", "d2"), []rollout.Phase{rollout.Reversed})
+
+	// Once the operator was told of the end, the old targets are gone.
+	h := newOrderHandler(orderHandlerConfig{self: "d1"})
+	h.reportedPhases[status.Move] = rollout.Done
+	assert.Equal(t, h.reportablePhaseLocked(&status), rollout.Done)
+	other := newOrderHandler(orderHandlerConfig{self: "d2"})
+	assert.Equal(t, other.reportablePhaseLocked(&status), rollout.Done)
+}
