review: show that odd registry entries take all targets away after a restart

Of several registry entries with one address only the one with the latest start is used, before entries of unknown services are left out.

The plays of a script now begin at different loopback networks, so that several can run beside each other.

--- a/review/stand3/lost_outcome.go
+++ b/review/stand3/lost_outcome.go
@@ -54,15 +54,10 @@
 	for _, d := range r.daemons {
 		d.signal(syscall.SIGKILL)
 	}
-	time.Sleep(downTime)
-	for _, d := range r.daemons {
-		d.kill()
-		if err := d.startProcess(); err != nil {
-			return false, err
-		}
+	back, err := r.restartDaemons()
+	if err != nil {
+		return false, err
 	}
-	back := time.Now()
-	r.say("all processes are started again")
 	time.Sleep(recovery)
 	from = time.Now()
 	time.Sleep(judgeTime)
@@ -73,6 +68,20 @@
 	return before.share() >= 0.25 && after.share() < 0.25, nil
 }
 
+// restartDaemons starts the processes of all daemons, which were killed, after downTime, and returns
+// when they were started.
+func (r *run) restartDaemons() (time.Time, error) {
+	time.Sleep(downTime)
+	for _, d := range r.daemons {
+		d.kill()
+		if err := d.startProcess(); err != nil {
+			return time.Time{}, err
+		}
+	}
+	r.say("all processes are started again")
+	return time.Now(), nil
+}
+
 // rollOut starts servers of a new version beside the old ones and orders to move the service to
 // them. Once the order is completed, it stops the old servers.
 func rollOut(r *run, s *store, e *executions, service, to string) error {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -18,6 +18,7 @@
 // cases holds the function of each case. It returns whether the rule was broken.
 var cases = map[string]func(*run) (bool, error){
 	"lost-outcome":   lostOutcome,
+	"odd-entries":    oddEntries,
 	"restored-store": restoredStore,
 }
 
--- a/review/stand3/run.go
+++ b/review/stand3/run.go
@@ -192,12 +192,18 @@
 	}
 }
 
-// metricsPort is the port of the metrics in the settings template.
-const metricsPort = 9100
+const (
+	// metricsPort is the port of the metrics in the settings template.
+	metricsPort = 9100
+	// The daemons of a play have addresses of one of loopbackNetworks networks 127.0.N.0/24.
+	firstNetwork, loopbackNetworks = 16, 230
+)
 
 // freeIPs returns loopback addresses of one network on which the port of the metrics is free.
 func freeIPs(count int) ([]string, error) {
-	for network := 16; network < 250; network++ {
+	for i := range loopbackNetworks {
+		// Plays at the same time begin at different networks.
+		network := firstNetwork + (os.Getpid()+i)%loopbackNetworks
 		var ips []string
 		for host := 1; host <= count; host++ {
 			ip := fmt.Sprintf("127.0.%d.%d", network, host)
